--- /dev/null
+++ b/kestrelspar/__init__.py
@@ -0,0 +1,1 @@
+"""kestrelspar: a courier that delivers messages to member systems, on real sockets."""
--- /dev/null
+++ b/kestrelspar/__main__.py
@@ -0,0 +1,77 @@
+"""Start one courier: read the configuration, put the parts together, and serve until told to end."""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import socket
+import sys
+
+from kestrelspar import config
+from kestrelspar.buffers import BufferPool
+from kestrelspar.courier import Courier
+from kestrelspar.http.nexthop import NextHops
+from kestrelspar.http.notices import Notices
+from kestrelspar.http.sender import SenderServer
+from kestrelspar.http.watch import Watch
+from kestrelspar.journal import Journal
+from kestrelspar.loop import Loop, listen, log
+
+
+def _on_signals(loop: Loop, courier: Courier) -> None:
+    """Have SIGTERM and SIGINT close the courier, from a task and not from the handler."""
+    ear, mouth = socket.socketpair()
+    for end in (ear, mouth):
+        end.setblocking(False)
+    wakeup = mouth.detach()  # owned by the process: closed with its socket object, its other end would wake
+    signal.set_wakeup_fd(wakeup, warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: None)
+
+    def heed() -> None:
+        while True:
+            loop.readable(ear, None)
+            try:
+                if not ear.recv(64):
+                    return
+            except BlockingIOError:
+                continue
+            courier.close()
+
+    loop.spawn(heed)
+
+
+def main() -> int:
+    """Serve; exit code 0 after SIGTERM, 2 for a configuration that will not do."""
+    try:
+        told = config.read(os.environ)
+    except ValueError as error:
+        log(f"configuration: {error}")
+        return 2
+    loop, buffers = Loop(), BufferPool()
+    journal = Journal(told.state, told.disk_bytes)
+    courier = Courier(loop, told.settings, told.seed, journal)
+    spare = max(32, told.sockets // 8)  # for discovery, notices, listeners, signals and files
+    carrier = NextHops(loop, buffers, told.settings, told.sockets // 4)
+    notices = Notices(loop, buffers, told.discovery)
+    courier.senders[notices.name] = notices
+    most = max(16, told.sockets - told.sockets // 4 - told.settings.slots - spare)
+    server = SenderServer(loop, buffers, courier, notices, most)
+    watch = Watch(loop, buffers, courier, carrier, told.discovery)
+    _on_signals(loop, courier)
+    listener = listen(told.listen)
+    if told.known:
+        watch.take(told.known)
+    courier.resume()
+    loop.spawn(watch.run)
+    loop.spawn(server.accept, listener)
+    courier.ready = True
+    log(f"{told.name} serves on {told.listen[0]}:{told.listen[1]}, {len(courier.hops)} next hops known")
+    gc.freeze()
+    loop.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/kestrelspar/buffers.py
@@ -0,0 +1,114 @@
+"""Read buffers of one size, used again from a pool, and the byte stream that fills them."""
+
+from __future__ import annotations
+
+import socket
+
+from kestrelspar.loop import Loop
+
+SIZE = 72 * 1024  # a head of 8 KiB and a body of 64 KiB: a whole message always fits one buffer
+
+
+class Closed(Exception):
+    """The peer ended the connection, or it broke."""
+
+
+class Late(Exception):
+    """The time for this read or write was over."""
+
+
+class BufferPool:
+    """Buffers of ``SIZE`` bytes; at most ``most`` exist, so that memory stays bounded."""
+
+    def __init__(self, most: int = 480) -> None:
+        self._free: list[bytearray] = []
+        self._made, self._most = 0, most
+
+    def take(self) -> bytearray | None:
+        """A buffer, or nothing when all are in use."""
+        if self._free:
+            return self._free.pop()
+        if self._made >= self._most:
+            return None
+        self._made += 1
+        return bytearray(SIZE)
+
+    def give(self, buffer: bytearray) -> None:
+        """Take a buffer back; its content is left as it is, as readers go by their own counts."""
+        self._free.append(buffer)
+
+
+class Stream:
+    """A connection's bytes: read into one pooled buffer, held only while something unread is in it."""
+
+    def __init__(self, loop: Loop, sock: socket.socket, pool: BufferPool) -> None:
+        self.loop, self.sock, self.pool = loop, sock, pool
+        self._buffer: bytearray | None = None
+        self._start = self._end = 0
+
+    @property
+    def unread(self) -> memoryview:
+        """What has come and was not consumed yet."""
+        return memoryview(self._buffer or b"")[self._start : self._end]
+
+    def consume(self, count: int) -> None:
+        """Let go of the first ``count`` unread bytes."""
+        self._start += count
+        if self._start >= self._end and self._buffer is not None:
+            self._start = self._end = 0
+            self.pool.give(self._buffer)
+            self._buffer = None
+
+    def fill(self, deadline: int | None) -> None:
+        """Wait for more bytes. ``Closed``: the input ended; ``Late``: time is up, or no buffer is left."""
+        if not self.loop.readable(self.sock, deadline):
+            raise Late
+        if self._buffer is None:
+            self._buffer = self.pool.take()
+            if self._buffer is None:
+                raise Late
+        if self._start and self._end == SIZE:
+            rest = self._buffer[self._start : self._end]
+            self._buffer[: len(rest)] = rest
+            self._start, self._end = 0, len(rest)
+        try:
+            count = self.sock.recv_into(memoryview(self._buffer)[self._end :])
+        except BlockingIOError:
+            count = -1
+        except OSError as error:
+            self.consume(self._end - self._start)
+            raise Closed from error
+        if count == 0:
+            self.consume(self._end - self._start)
+            raise Closed
+        if count > 0:
+            self._end += count
+        elif self._start == self._end:
+            self.consume(0)
+
+    def write(self, data: bytes, deadline: int | None) -> None:
+        """Write everything; ``Closed`` or ``Late`` mean that the last byte was not written."""
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[self.sock.send(view) :]
+            except BlockingIOError:
+                if not self.loop.writable(self.sock, deadline):
+                    raise Late from None
+            except OSError as error:
+                raise Closed from error
+
+    def ended(self) -> bool:
+        """Whether the peer has ended or broken the connection, as far as is known here, without reading."""
+        try:
+            return self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def close(self) -> None:
+        """Close the socket and give the buffer back."""
+        self.consume(self._end - self._start)
+        self.loop.forget(self.sock)
+        self.sock.close()
--- /dev/null
+++ b/kestrelspar/courier.py
@@ -0,0 +1,374 @@
+"""The core: the life of a message, from hand-in to final answer. It knows no wire.
+
+Fronts meet it through the types below: a front hands in messages and is told their ends (``SenderSide``),
+makes delivery attempts (``Carrier``), and reports changes of the transport map (``Courier.listed``).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any, Protocol
+
+import ujson
+
+from kestrelspar.journal import Entry, Journal
+from kestrelspar.loop import MS, SECOND, Loop, Parking, log
+from snowlock import Controller
+from snowlock import interface as api
+from snowlock.interface import Outcome
+
+NS = 1_000  # nanoseconds of the module in one of our microseconds
+CONNECTIONS_LATE = 500 * MS  # after SIGTERM: new connections may come for 400 ms
+NO_NEW_ATTEMPTS = 2_200 * MS  # after SIGTERM: what starts later might not come back in time
+LEAVE_AT = 3_500 * MS  # after SIGTERM: SIGKILL may come at 3.7 s
+COME_BACK = 1_000 * MS  # to a client deferred at the door
+NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+
+DELIVERED, FAILED, RETURNED = "delivered", "failed", "returned"
+
+
+@dataclass(slots=True)
+class Message:
+    """One message, whatever wire it came by."""
+
+    trace: str  # the sender side's id for it
+    cls: int
+    tenant: int
+    dest: int
+    deadline: int
+    body: bytes
+    sender: SenderSide
+    key: str = ""  # idempotency key
+    extra: dict[str, Any] = field(default_factory=dict)  # of its front, as JSON can hold it
+    number: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The answer to a hand-in: taken on, deferred (come again), or rejected (not to be handed in again)."""
+
+    taken: bool
+    defer: bool = False
+    reason: str = ""
+    come_back: int = COME_BACK
+
+
+TAKEN_ON = Answer(True)
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """How a delivery attempt ended."""
+
+    outcome: Outcome
+    told_wait: int = 0
+    no_slot: bool = False
+    closed: bool = False  # the message is over
+    report: tuple[float, ...] = ()
+    note: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """A message's end, as its sender side is told it."""
+
+    state: str
+    after_ms: int = 0
+
+
+class SenderSide(Protocol):
+    """Where a message came from."""
+
+    name: str
+
+    def settle(self, message: Message, end: End) -> None:
+        """Tell the end, and return when it has been heard."""
+
+
+class Carrier(Protocol):
+    """What makes delivery attempts on one wire."""
+
+    def attempt(self, message: Message, hop: NextHop, deadline: int, leave: Callable[[], bool]) -> Result:
+        """One delivery attempt; ``leave`` is asked right before the first byte: if false, send nothing."""
+
+    def close_idle(self, hop: NextHop) -> None:
+        """Shut idle connections to the next hop."""
+
+
+@dataclass(frozen=True, slots=True)
+class NextHop:
+    """One entry of the transport map: what the module sees of it, and how it is reached."""
+
+    endpoint: api.Endpoint
+    address: tuple[str, int]
+    carrier: Carrier
+
+    @property
+    def name(self) -> str:
+        """Its name on logs."""
+        return self.endpoint.id.decode("utf-8", "replace")
+
+
+class Hook(Protocol):
+    """A plug-in at a message's arrival and end."""
+
+    def arrival(self, message: Message) -> Answer | None:
+        """Defer or reject it, or change it and let it in."""
+
+    def end(self, message: Message, end: End) -> None:
+        """See its end."""
+
+
+class Courier:
+    """Owns the open messages, the transport map, the journal and the module."""
+
+    def __init__(self, loop: Loop, settings: api.Settings, seed: int, journal: Journal) -> None:
+        self.loop, self.settings, self.journal = loop, settings, journal
+        self.senders: dict[str, SenderSide] = {}
+        self.hooks: list[Hook] = []
+        self.hops: dict[api.EndpointId, NextHop] = {}
+        self.dests: set[int] = set()  # ever listed
+        self.map_current = False  # discovery has been heard since the start
+        self.ready = False
+        self.closing: int | None = None  # since when
+        self._controller = Controller(settings, seed)
+        self._events: list[api.Event] = []
+        self._desks: dict[int, Parking] = {}  # messages whose task waits for the module's next word
+        self.open: dict[int, Message] = {}
+        self.out = 0  # delivery attempts under way
+        self._last = max(journal.entries, default=0)
+        loop.at_turn_end.append(self._decide)
+
+    # The life of a message
+
+    def carry(self, message: Message, answer: Callable[[Answer], bool]) -> None:
+        """One message from hand-in to final answer, top to bottom, in a task of its own.
+
+        ``answer`` tells the sender side at once whether the message is taken on; false when it did not hear.
+        """
+        refusal = self._door(message)
+        if refusal is not None:
+            answer(refusal)
+            return
+        self._last += 1
+        message.number = self._last
+        text = ujson.dumps(self._text(message))
+        if not self.journal.taken(message.number, message.deadline, text, message.body):
+            answer(Answer(False, True, "journal full"))
+            return
+        self.open[message.number] = message
+        if not answer(TAKEN_ON):  # it went away unanswered and may hand it in elsewhere: not ours
+            self._over(message)
+            return
+        left = max(0, message.deadline - self.loop.now) * NS
+        self._see_through(
+            message, api.Arrival(message.number, message.cls, message.dest, left, message.tenant)
+        )
+
+    def _see_through(self, message: Message, event: api.Arrival) -> None:
+        """From the module's first word on it to its end."""
+        which = event.attempts
+        word = self._ask(message.number, event)
+        while isinstance(word, api.Send):
+            if self.closing is not None and self.loop.now - self.closing > NO_NEW_ATTEMPTS:
+                return  # the journal has it, and the next process goes on
+            result, latency = self._attempt(message, word, which)
+            which += 1
+            word = self._ask(message.number, api.AttemptEnded(
+                message.number, which - 1, word.endpoint, result.outcome, latency * NS,
+                closed=result.closed or result.outcome is Outcome.OK, wait_ns=result.told_wait * NS,
+                no_slot=result.no_slot, report=result.report,
+            ), final=result.closed or result.outcome is Outcome.OK)
+            if result.outcome is Outcome.OK:
+                self._end(message, End(DELIVERED))
+                return
+            if result.closed:
+                self._over(message)
+                return
+        after_ms = -(-word.retry_after_ns // (NS * MS)) if isinstance(word, api.Refuse) else 0
+        self._end(message, End(RETURNED if isinstance(word, api.Refuse) else FAILED, after_ms))
+
+    def _attempt(self, message: Message, word: api.Send, which: int) -> tuple[Result, int]:
+        """One delivery attempt, journalled before its first byte leaves."""
+        hop, sent = self.hops.get(word.endpoint), self.loop.now
+        if hop is None:
+            return Result(Outcome.MOOT), 0
+
+        def leave() -> bool:
+            # Between the choice and the first byte a drain or a told wait may have come.
+            return self._controller.may_still_go(self.loop.now * NS, word.endpoint) and self.journal.attempt(
+                message.number, which, self.loop.now
+            )
+
+        self.out += 1
+        try:
+            result = hop.carrier.attempt(message, hop, sent + word.timeout_ns // NS, leave)
+        finally:
+            self.out -= 1
+        if result.outcome in NEVER_RAN:
+            self.journal.not_run(message.number, which)
+        if result.outcome is not Outcome.OK:
+            log(f"attempt {which} of {message.trace} at {hop.name}: {result.outcome.name.lower()}"
+                f"{f' wait {result.told_wait // MS} ms' if result.told_wait else ''}"
+                f"{' ' + result.note if result.note else ''} after {(self.loop.now - sent) // MS} ms")
+        return result, self.loop.now - sent
+
+    def _end(self, message: Message, end: End) -> None:
+        """Journal the final answer, tell it, and let go of the message."""
+        self.open.pop(message.number, None)
+        self.journal.verdict(message.number, end.state, end.after_ms)
+        for hook in self.hooks:
+            hook.end(message, end)
+        message.sender.settle(message, end)
+        self._over(message)
+
+    def _over(self, message: Message) -> None:
+        """Nothing is owed for it any more."""
+        self.open.pop(message.number, None)
+        self.journal.done(message.number)
+
+    def _door(self, message: Message) -> Answer | None:
+        """Why the message can't be taken on now, if so."""
+        if self.closing is not None:
+            return Answer(False, True, "shutting down")
+        for hook in self.hooks:
+            verdict = hook.arrival(message)
+            if verdict is not None:
+                return verdict
+        if message.dest not in self.dests:
+            # The list at start may be old, so a destination that it lacks may exist.
+            return Answer(False, not self.map_current, f"unknown destination {message.dest}")
+        if len(self.open) >= self.settings.max_open:
+            return Answer(False, True, "holds as many messages as it may")
+        return None
+
+    def _text(self, message: Message) -> dict[str, Any]:
+        """What the journal keeps of a message beside its body and deadline."""
+        tenants = self.settings.tenants
+        return {
+            "sender": message.sender.name, "trace": message.trace, "dest": message.dest, "key": message.key,
+            "class": self.settings.classes[message.cls].name,
+            "tenant": tenants[message.tenant].name if tenants else "", "extra": message.extra,
+        }
+
+    # After a restart
+
+    def resume(self) -> None:
+        """Take up what the journal holds: each open message still has its end to come."""
+        for entry in list(self.journal.entries.values()):
+            try:
+                message = self._from_journal(entry)
+            except (KeyError, ValueError, TypeError, StopIteration) as error:
+                log(f"journal: message {entry.number} can't be taken up: {error!r}")
+                continue
+            log(f"taken up {message.trace}: {entry.attempts} attempts, "
+                f"{'may have run' if entry.maybe_since is not None else 'never ran'}"
+                f"{', ' + entry.verdict if entry.verdict else ''}")
+            if entry.verdict:
+                self.loop.spawn(self._tell_again, message, End(entry.verdict, entry.after_ms))
+                continue
+            self.open[entry.number] = message
+            since = None if entry.maybe_since is None else entry.maybe_since * NS
+            left = max(0, entry.deadline - self.loop.now) * NS
+            self.loop.spawn(self._see_through, message, api.Arrival(
+                entry.number, message.cls, message.dest, left, message.tenant, 0, entry.attempts, since
+            ))
+
+    def _tell_again(self, message: Message, end: End) -> None:
+        """The end was decided before the restart and may not have been heard."""
+        message.sender.settle(message, end)
+        self._over(message)
+
+    def _from_journal(self, entry: Entry) -> Message:
+        text = ujson.loads(entry.text)
+        cls = next(i for i, c in enumerate(self.settings.classes) if c.name == text["class"])
+        tenant = next((i for i, t in enumerate(self.settings.tenants) if t.name == text["tenant"]), 0)
+        return Message(text["trace"], cls, tenant, int(text["dest"]), entry.deadline, entry.body,
+                       self.senders[text["sender"]], text["key"], text["extra"], entry.number)
+
+    # The module
+
+    def _ask(self, number: int, event: api.Event, final: bool = False) -> Any:
+        """Put an event to the module and wait for its next word on this message."""
+        self._events.append(event)
+        if final:
+            return None
+        desk = self._desks[number] = Parking(self.loop)
+        return self.loop.park(desk)
+
+    def _decide(self) -> None:
+        """Once a turn: give the module what has happened, and carry out what it says."""
+        if not self._events:
+            return
+        events, self._events = self._events, []
+        for action in self._controller.handle(self.loop.now * NS, events):
+            if isinstance(action, (api.Send, api.Refuse, api.Fail)):
+                desk = self._desks.pop(action.message, None)
+                if desk is not None:
+                    desk.resume(action)
+            elif isinstance(action, api.SetTimer):
+                self.loop.at(-(-action.at_ns // NS), partial(self._timer, action.token))
+            elif isinstance(action, api.CloseIdle):
+                hop = self.hops.get(action.endpoint)
+                if hop is not None:
+                    hop.carrier.close_idle(hop)
+            elif isinstance(action, api.Log):
+                log(action.text)
+
+    def _timer(self, token: int) -> None:
+        self._events.append(api.TimerFired(token))
+
+    # The transport map
+
+    def listed(self, carrier: Carrier, hops: Iterable[NextHop], whole: bool) -> None:
+        """News of the transport map from one source; a whole list tells what is gone, too."""
+        rows = []
+        hops = list(hops)
+        if whole:
+            names = {hop.endpoint.id for hop in hops}
+            for known in list(self.hops.values()):
+                if known.carrier is carrier and known.endpoint.id not in names:
+                    rows.append(_gone(known.endpoint))
+                    del self.hops[known.endpoint.id]
+                    carrier.close_idle(known)
+        for hop in hops:
+            rows.append(hop.endpoint)
+            self.dests.add(hop.endpoint.destination)
+            if hop.endpoint.state is api.EndpointState.GONE:
+                self.hops.pop(hop.endpoint.id, None)
+            else:
+                self.hops[hop.endpoint.id] = hop
+            if hop.endpoint.state is not api.EndpointState.READY:
+                carrier.close_idle(hop)
+        self._events.append(api.EndpointList(api.ListKind.DELTA, tuple(rows)))
+        # At once, not at the turn's end: a task of this turn may be about to write its first byte.
+        self._decide()
+
+    # The end of the process
+
+    def close(self) -> None:
+        """SIGTERM: take nothing on, finish what is out, and leave the rest to the journal."""
+        if self.closing is None:
+            self.closing, self.ready = self.loop.now, False
+            log(f"closing: {len(self.open)} messages open, {self.out} attempts out")
+            self.loop.spawn(self._leave)
+
+    def _leave(self) -> None:
+        assert self.closing is not None
+        self.loop.sleep(CONNECTIONS_LATE)
+        while self.loop.now < self.closing + LEAVE_AT and (self.journal.entries or self.out):
+            self.loop.sleep(10 * MS)
+            if self.loop.now > self.closing + NO_NEW_ATTEMPTS and not self.out:
+                break
+        log(f"closed: {len(self.journal.entries)} messages stay in the journal, {self.out} attempts out")
+        self.loop.stop()
+
+
+def _gone(endpoint: api.Endpoint) -> api.Endpoint:
+    return api.Endpoint(endpoint.id, endpoint.destination, endpoint.zone, endpoint.kind,
+                        api.EndpointState.GONE, endpoint.rate)
+
+
+__all__ = ["Answer", "Carrier", "Courier", "End", "Message", "NextHop", "Result", "SECOND", "SenderSide"]
--- /dev/null
+++ b/kestrelspar/http/parser.py
@@ -0,0 +1,217 @@
+"""HTTP/1.1 messages: bytes to heads and bodies. Decides nothing, opens nothing."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from kestrelspar.buffers import Closed, Stream
+
+MOST_HEAD = 8 * 1024
+MOST_BODY = 64 * 1024
+MOST_HEADERS = 100
+_TOKEN = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
+
+
+class BadMessage(Exception):
+    """Not HTTP/1.1 as we accept it; ``status`` is what a client is answered."""
+
+    def __init__(self, text: str, status: int = 400) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """The first line's three parts and the headers, by names in small letters."""
+
+    first: tuple[str, str, str]
+    headers: dict[str, str]
+    size: int  # bytes that it took
+
+    @property
+    def keeps(self) -> bool:
+        """Whether the connection stays open after this message."""
+        said = self.headers.get("connection", "").lower()
+        version = self.first[2] if self.first[2].startswith("HTTP/") else self.first[0]
+        return "close" not in said and (version == "HTTP/1.1" or "keep-alive" in said)
+
+    @property
+    def status(self) -> int:
+        """A response's status."""
+        return int(self.first[1])
+
+
+def head(data: memoryview, response: bool = False) -> Head | None:
+    """The head at the start of the data, or nothing while it is not all there."""
+    text = bytes(data[:MOST_HEAD])
+    end = text.find(b"\r\n\r\n")
+    if end < 0:
+        if len(data) >= MOST_HEAD:
+            raise BadMessage("head too long", 431)
+        return None
+    lines = text[:end].split(b"\r\n")
+    if len(lines) > MOST_HEADERS + 1:
+        raise BadMessage("too many headers", 431)
+    parts = lines[0].decode("latin-1").split(" ", 2)
+    if response:
+        parts += [""] * (3 - len(parts))
+        if not parts[0].startswith("HTTP/1.") or not (len(parts[1]) == 3 and parts[1].isascii()
+                                                      and parts[1].isdigit()):
+            raise BadMessage("bad status line")
+    elif len(parts) != 3 or not parts[0] or not parts[1] or parts[2] not in ("HTTP/1.1", "HTTP/1.0"):
+        raise BadMessage("bad request line")
+    headers: dict[str, str] = {}
+    for line in lines[1:]:
+        name, colon, value = line.partition(b":")
+        if not colon or not name or not _TOKEN.issuperset(name):
+            raise BadMessage("bad header line")
+        key, said = name.decode("ascii").lower(), value.decode("latin-1").strip(" \t")
+        if "\r" in said or "\n" in said or "\0" in said:
+            raise BadMessage("bad header value")
+        if key in headers and key == "content-length" and headers[key] != said:
+            raise BadMessage("two lengths")
+        headers[key] = f"{headers[key]}, {said}" if key in headers and key != "content-length" else said
+    return Head((parts[0], parts[1], parts[2]), headers, end + 4)
+
+
+def body_length(parsed: Head) -> int | None:
+    """The body's length as told; nothing if it is chunked, -1 if it is not told."""
+    coding = parsed.headers.get("transfer-encoding")
+    length = parsed.headers.get("content-length")
+    if coding is not None:
+        # Both at once is how a request is smuggled past one of two readers.
+        if coding.lower() != "chunked" or length is not None:
+            raise BadMessage("transfer coding not served")
+        return None
+    if length is None:
+        return -1
+    if not (length.isascii() and length.isdigit()):
+        raise BadMessage("bad length")
+    if len(length) > 9 or int(length) > MOST_BODY:
+        raise BadMessage("body too long", 413)
+    return int(length)
+
+
+def body_told(parsed: Head) -> int | None:
+    """As ``body_length``, but a length that will not do reads as not told."""
+    try:
+        return body_length(parsed)
+    except BadMessage:
+        return -1
+
+
+class Chunks:
+    """A chunked body: takes bytes cut anywhere, gives its data."""
+
+    def __init__(self) -> None:
+        self._line = b""  # an unfinished line
+        self._left = 0  # of the current chunk's data
+        self._state = "size"
+        self.done = False
+
+    def take(self, data: bytes) -> tuple[bytes, int]:
+        """Data found, and how many bytes were used up (all, until the body is done)."""
+        out, at = [], 0
+        while at < len(data) and not self.done:
+            if self._state == "data":
+                part = data[at : at + self._left]
+                out.append(part)
+                at += len(part)
+                self._left -= len(part)
+                if not self._left:
+                    self._state = "gap"
+                continue
+            end = data.find(b"\n", at)
+            stop = len(data) if end < 0 else end + 1
+            self._line += data[at:stop]
+            at = stop
+            if len(self._line) > MOST_HEAD:
+                raise BadMessage("chunk line too long")
+            if end >= 0:
+                line, self._line = self._line, b""
+                self._whole_line(line)
+        return b"".join(out), at
+
+    def _whole_line(self, line: bytes) -> None:
+        if not line.endswith(b"\r\n"):
+            raise BadMessage("bad chunk line")
+        line = line[:-2]
+        if self._state == "gap":
+            if line:
+                raise BadMessage("chunk longer than told")
+            self._state = "size"
+        elif self._state == "trailer":
+            self.done = not line
+        else:
+            size = line.split(b";", 1)[0].strip()
+            if not size or len(size) > 8 or not all(c in b"0123456789abcdefABCDEF" for c in size):
+                raise BadMessage("bad chunk size")
+            self._left = int(size, 16)
+            self._state = "data" if self._left else "trailer"
+
+
+def read_head(stream: Stream, deadline: int | None, response: bool = False) -> Head:
+    """The next head from the stream; its bytes are consumed."""
+    while (parsed := head(stream.unread, response)) is None:
+        stream.fill(deadline)
+    stream.consume(parsed.size)
+    return parsed
+
+
+def read_body(stream: Stream, parsed: Head, deadline: int | None, response: bool = False) -> bytes:
+    """The body that follows the head."""
+    length = body_length(parsed)
+    if length is None:
+        chunks, parts, size = Chunks(), [], 0
+        while True:
+            data, used = chunks.take(bytes(stream.unread))
+            stream.consume(used)
+            parts.append(data)
+            size += len(data)
+            if size > MOST_BODY:
+                raise BadMessage("body too long", 413)
+            if chunks.done:
+                return b"".join(parts)
+            stream.fill(deadline)
+    if length < 0 and not response:
+        return b""
+    if length < 0:
+        parts, size = [], 0
+        try:
+            while size <= MOST_BODY:
+                parts.append(bytes(stream.unread))
+                size += len(parts[-1])
+                stream.consume(len(parts[-1]))
+                stream.fill(deadline)
+        except Closed:
+            return b"".join(parts)
+        raise BadMessage("body too long", 413)
+    while len(stream.unread) < length:
+        stream.fill(deadline)
+    body = bytes(stream.unread[:length])
+    stream.consume(length)
+    return body
+
+
+REASONS = {200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+           408: "Request Timeout", 413: "Content Too Large", 422: "Unprocessable Content",
+           431: "Request Header Fields Too Large", 503: "Service Unavailable"}
+
+
+def response(status: int, body: bytes = b"", headers: dict[str, str] | None = None,
+             keep: bool = True) -> bytes:
+    """A whole response."""
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, '')}", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    if not keep:
+        lines.append("Connection: close")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+def request(method: str, target: str, host: str, headers: dict[str, str], body: bytes = b"") -> bytes:
+    """A whole request."""
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
--- /dev/null
+++ b/kestrelspar/http/watch.py
@@ -0,0 +1,143 @@
+"""The watch on discovery's list, the transport map."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import ujson
+
+from kestrelspar.buffers import BufferPool, Closed, Late, Stream
+from kestrelspar.courier import Carrier, Courier, NextHop
+from kestrelspar.http import parser
+from kestrelspar.loop import MS, SECOND, Loop, connect, log
+from snowlock import interface as api
+
+SILENCE = 5 * SECOND  # an empty line comes every 2 s: after this the connection is given up
+WAIT_FIRST, WAIT_MOST = 50 * MS, 2 * SECOND
+MOST_LINE = 4 * 1024 * 1024
+STATES = {"active": api.EndpointState.READY, "leaving": api.EndpointState.DRAINING,
+          "left": api.EndpointState.GONE}
+
+
+def address(text: Any) -> tuple[str, int]:
+    """HOST:PORT; ``ValueError`` where it is not that."""
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r:.60} is not HOST:PORT")
+    return host, int(port)
+
+
+def _place(name: Any, names: tuple[str, ...], what: str) -> int:
+    """The place of a name in the settings' list."""
+    for index, known in enumerate(names):
+        if name == known:
+            return index
+    raise ValueError(f"unknown {what} {name!r:.40}")
+
+
+def entry(raw: Any, settings: api.Settings, carrier: Carrier) -> NextHop:
+    """One entry of the list; ``ValueError``, ``KeyError`` or ``TypeError`` where it will not do."""
+    state = STATES[raw["status"]]
+    endpoint = api.Endpoint(
+        str(raw["name"]).encode(), int(raw["group"]), _place(raw.get("zone"), settings.zones, "zone"),
+        _place(raw.get("type"), settings.kinds, "type"), state, float(raw.get("weight", 1.0)),
+    )
+    return NextHop(endpoint, address(raw["address"]), carrier)
+
+
+class Watch:
+    """Follows discovery and hands the courier what it tells."""
+
+    def __init__(self, loop: Loop, buffers: BufferPool, courier: Courier, carrier: Carrier,
+                 discovery: tuple[str, int]) -> None:
+        self.loop, self.buffers, self.courier, self.carrier = loop, buffers, courier, carrier
+        self.discovery = discovery
+        self.index = 0
+
+    def take(self, raw: Any) -> None:
+        """Take in one object of the list; a bad entry is logged and passed over, as is what is no list."""
+        if not isinstance(raw, dict) or not isinstance(raw.get("endpoints"), list):
+            log(f"transport map: not a list: {raw!r:.120}")
+            return
+        hops = []
+        for row in raw["endpoints"]:
+            try:
+                hops.append(entry(row, self.courier.settings, self.carrier))
+            except (ValueError, KeyError, TypeError, OverflowError) as error:
+                log(f"transport map: bad entry passed over ({error!r}): {row!r:.160}")
+        whole = raw.get("snapshot") is True
+        for hop in hops:
+            if hop.endpoint.state is not api.EndpointState.READY:
+                log(f"transport map: {hop.name} is {hop.endpoint.state.name.lower()}")
+        self.courier.listed(self.carrier, hops, whole)
+        index = raw.get("index")
+        if isinstance(index, int) and not isinstance(index, bool):
+            self.index = index
+
+    def run(self) -> None:
+        """Watch for as long as the process runs; reconnect with growing waits."""
+        wait = WAIT_FIRST
+        while True:
+            heard = self._watch()
+            wait = WAIT_FIRST if heard else min(WAIT_MOST, 2 * wait)
+            log(f"transport map: watch ended at {self.index}, again in {wait // MS} ms")
+            self.loop.sleep(wait)
+
+    def _watch(self) -> bool:
+        """One connection's life; whether it told anything."""
+        heard = False
+        sock = connect(self.loop, self.discovery, self.loop.now + SILENCE)
+        if sock is None:
+            return False
+        stream = Stream(self.loop, sock, self.buffers)
+        try:
+            target = f"/registry/instances?watch=1&after={self.index}"
+            stream.write(parser.request("GET", target, "app.svc", {}), self.loop.now + SILENCE)
+            answer = parser.read_head(stream, self.loop.now + SILENCE, response=True)
+            if answer.status != 200:
+                log(f"transport map: discovery answers {answer.status}")
+                return False
+            chunks = parser.Chunks() if parser.body_length(answer) is None else None
+            lines = Lines()
+            while True:
+                data = bytes(stream.unread)
+                if chunks is None:
+                    used = len(data)
+                else:
+                    data, used = chunks.take(data)
+                stream.consume(used)
+                for line in lines.take(data):
+                    heard = True
+                    self._line(line)
+                if chunks is not None and chunks.done:
+                    return heard
+                stream.fill(self.loop.now + SILENCE)
+        except (Closed, Late, parser.BadMessage):
+            return heard
+        finally:
+            stream.close()
+
+    def _line(self, line: bytes) -> None:
+        self.courier.map_current = True
+        if not line.strip():
+            return
+        try:
+            raw = ujson.loads(line)
+        except ValueError as error:
+            log(f"transport map: bad line passed over ({error}): {line!r:.160}")
+            return
+        self.take(raw)
+
+
+class Lines:
+    """Lines from bytes cut anywhere."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def take(self, data: bytes) -> list[bytes]:
+        """The lines that are complete now, without their ends."""
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        if len(self._rest) > MOST_LINE:
+            raise parser.BadMessage("line too long")
+        return lines
--- /dev/null
+++ b/kestrelspar/journal.py
@@ -0,0 +1,240 @@
+"""The journal in the folder that lasts: what the courier has taken on, and what became of it.
+
+Append-only records, each with its length and checksum, by plain writes. Compaction writes the open messages
+to a second file and renames it over the first; both together stay within the folder's limit.
+"""
+
+from __future__ import annotations
+
+import os
+import struct
+import time
+import zlib
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from kestrelspar.loop import log
+
+_HEAD = struct.Struct("<IIBQ")  # bytes of payload, checksum of the rest, kind, number of the message
+_ATTEMPT = struct.Struct("<Hq")  # which, and when
+MOST_PAYLOAD = 96 * 1024
+BLOCK = 512
+CLOCK, TAKEN, ATTEMPT, NOT_RUN, VERDICT, DONE = range(1, 7)
+LATER_RECORDS = 1024  # room kept for each open message's later records: 8 attempts and its end need less
+SHIFT_LEAST = 2_000_000  # a smaller step between the clocks of two processes is the wall clock's correction
+
+
+@dataclass(slots=True)
+class Entry:
+    """One open message as the journal holds it. Times are microseconds of this process's clock."""
+
+    number: int
+    text: str  # the front's own JSON object
+    body: bytes
+    deadline: int
+    attempts: int = 0
+    maybe_since: int | None = None  # when the first attempt left that may have run
+    verdict: str = ""  # decided, but the sender side has not been told
+    after_ms: int = 0
+    _sent: dict[int, int] = field(default_factory=dict)  # attempts not known to be harmless
+
+    def tried(self, which: int, sent: int) -> None:
+        """An attempt leaves."""
+        self.attempts = max(self.attempts, which + 1)
+        self._sent[which] = sent
+        self._first()
+
+    def not_run(self, which: int) -> None:
+        """An attempt proved never to have run."""
+        self.attempts = max(self.attempts, which + 1)
+        self._sent.pop(which, None)
+        self._first()
+
+    def _first(self) -> None:
+        self.maybe_since = min(self._sent.values(), default=None)
+
+    def records(self) -> bytes:
+        """The whole of it, anew."""
+        parts = [_record(TAKEN, self.number, _taken(self.deadline, self.text, self.body))]
+        if self.attempts and self.attempts - 1 not in self._sent:
+            parts.append(_record(NOT_RUN, self.number, _ATTEMPT.pack(self.attempts - 1, 0)))
+        for which, sent in self._sent.items():
+            parts.append(_record(ATTEMPT, self.number, _ATTEMPT.pack(which, sent)))
+        if self.verdict:
+            parts.append(_record(VERDICT, self.number, _verdict(self.verdict, self.after_ms)))
+        return b"".join(parts)
+
+
+def _taken(deadline: int, text: str, body: bytes) -> bytes:
+    head = text.encode()
+    return struct.pack("<qI", deadline, len(head)) + head + body
+
+
+def _verdict(state: str, after_ms: int) -> bytes:
+    return struct.pack("<I", after_ms) + state.encode()
+
+
+def _record(kind: int, number: int, payload: bytes) -> bytes:
+    rest = struct.pack("<BQ", kind, number) + payload
+    return struct.pack("<II", len(payload), zlib.crc32(rest)) + rest
+
+
+def _blocks(size: int) -> int:
+    return -(-size // BLOCK) * BLOCK
+
+
+class Journal:
+    """The open messages, and the file that outlasts the process."""
+
+    def __init__(self, folder: str, limit: int) -> None:
+        self._path, self._limit = Path(folder) / "journal", limit
+        self._spare = Path(folder) / "journal.new"
+        self.entries: dict[int, Entry] = {}
+        self._live = 0  # bytes that the open messages take in a fresh file, later records included
+        self._weights: dict[int, int] = {}
+        self._size = 0
+        self._offset = time.time_ns() // 1000 - time.monotonic_ns() // 1000
+        self._spare.unlink(missing_ok=True)  # a compaction that did not come to its rename
+        self._load()
+        self._file = os.open(self._path, os.O_WRONLY | os.O_CREAT, 0o600)
+        os.lseek(self._file, self._size, os.SEEK_SET)
+        os.ftruncate(self._file, self._size)
+        if not self._compact() and not self._size:
+            self._append(self._clock())  # else a later process could not tell what our times mean
+
+    def _clock(self) -> bytes:
+        return _record(CLOCK, 0, struct.pack("<q", self._offset))
+
+    def _load(self) -> None:
+        """Read the file; a torn tail is cut, a bad record is logged and passed over."""
+        data = self._path.read_bytes() if self._path.exists() else b""
+        at = shift = bad = 0
+        while at + _HEAD.size <= len(data):
+            size, check, kind, number = _HEAD.unpack_from(data, at)
+            end = at + _HEAD.size + size
+            if size > MOST_PAYLOAD or end > len(data):
+                break
+            if zlib.crc32(memoryview(data)[at + 8 : end]) == check:
+                try:
+                    shift = self._replay(kind, number, data[at + _HEAD.size : end], shift)
+                except (ValueError, struct.error, KeyError):
+                    bad += 1
+            else:
+                bad += 1
+            at = end
+        if at < len(data):
+            log(f"journal: tail of {len(data) - at} bytes is torn and was cut")
+        if bad:
+            log(f"journal: {bad} bad records were passed over")
+        self._size = at
+
+    def _replay(self, kind: int, number: int, payload: bytes, shift: int) -> int:
+        """Take in one record; returns what to add to the times of those that follow."""
+        if kind == CLOCK:
+            step = struct.unpack("<q", payload)[0] - self._offset
+            return step if abs(step) >= SHIFT_LEAST else 0
+        if kind == TAKEN:
+            deadline, size = struct.unpack_from("<qI", payload)
+            text = payload[12 : 12 + size].decode()
+            self._hold(Entry(number, text, payload[12 + size :], deadline + shift))
+        elif kind == DONE:
+            self._drop(number)
+        else:
+            entry = self.entries[number]
+            if kind == VERDICT:
+                entry.after_ms, entry.verdict = struct.unpack_from("<I", payload)[0], payload[4:].decode()
+            else:
+                which, sent = _ATTEMPT.unpack(payload)
+                entry.tried(which, sent + shift) if kind == ATTEMPT else entry.not_run(which)
+        return shift
+
+    def _hold(self, entry: Entry) -> None:
+        weight = len(entry.records()) + LATER_RECORDS
+        self.entries[entry.number] = entry
+        self._weights[entry.number] = weight
+        self._live += weight
+
+    def _drop(self, number: int) -> None:
+        if self.entries.pop(number, None) is not None:
+            self._live -= self._weights.pop(number)
+
+    def _fits(self, more: int) -> bool:
+        """Whether the file, grown by this, and a compacted copy of it stay within the limit."""
+        return _blocks(self._size + more) + _blocks(self._live + more + BLOCK) + BLOCK <= self._limit
+
+    def _compact(self) -> bool:
+        """Write what is open to a new file and put it in the old one's place."""
+        data = self._clock() + b"".join(entry.records() for entry in self.entries.values())
+        if _blocks(self._size) + _blocks(len(data)) > self._limit:
+            return False
+        file = -1
+        try:
+            file = os.open(self._spare, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+            if os.write(file, data) != len(data):
+                raise OSError("short write")
+            os.rename(self._spare, self._path)
+        except OSError as error:
+            log(f"journal: not compacted: {error}")
+            if file >= 0:
+                os.close(file)
+            self._spare.unlink(missing_ok=True)
+            return False
+        os.close(self._file)
+        self._file, self._size = file, len(data)
+        return True
+
+    def _append(self, record: bytes) -> bool:
+        """Write at the end; a write cut short is taken back, so that no later record follows a torn one."""
+        if self._size > self._limit // 4 and self._size > 3 * self._live:
+            self._compact()
+        if _blocks(self._size + len(record)) > self._limit:
+            return False
+        try:
+            if os.write(self._file, record) == len(record):
+                self._size += len(record)
+                return True
+        except OSError as error:
+            log(f"journal: not written: {error}")
+        os.ftruncate(self._file, self._size)
+        os.lseek(self._file, self._size, os.SEEK_SET)
+        return False
+
+    def taken(self, number: int, deadline: int, text: str, body: bytes) -> bool:
+        """A message is taken on; false when there is no room, and then it is not."""
+        record = _record(TAKEN, number, _taken(deadline, text, body))
+        if not self._fits(len(record) + LATER_RECORDS) and not (
+            self._compact() and self._fits(len(record) + LATER_RECORDS)
+        ):
+            return False
+        if len(record) > MOST_PAYLOAD or not self._append(record):
+            return False
+        self._hold(Entry(number, text, body, deadline))
+        return True
+
+    def attempt(self, number: int, which: int, sent: int) -> bool:
+        """An attempt is about to leave; false when that could not be written, and then it must not."""
+        entry = self.entries.get(number)
+        if entry is None or not self._append(_record(ATTEMPT, number, _ATTEMPT.pack(which, sent))):
+            return False
+        entry.tried(which, sent)
+        return True
+
+    def not_run(self, number: int, which: int) -> None:
+        """The outcome proves that this attempt never ran."""
+        entry = self.entries.get(number)
+        if entry is not None:
+            entry.not_run(which)
+            self._append(_record(NOT_RUN, number, _ATTEMPT.pack(which, 0)))
+
+    def verdict(self, number: int, state: str, after_ms: int) -> None:
+        """The final answer is decided; the sender side is still to be told."""
+        entry = self.entries.get(number)
+        if entry is not None:
+            entry.verdict, entry.after_ms = state, after_ms
+            self._append(_record(VERDICT, number, _verdict(state, after_ms)))
+
+    def done(self, number: int) -> None:
+        """Nothing is owed any more."""
+        if number in self.entries:
+            self._append(_record(DONE, number, b""))
+            self._drop(number)
--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -286,6 +286,11 @@
         message = Message(event.message, self.s.classes[event.message_class], dest, event, self.now,
                           2 * self.s.tick_ns + 10 * MS)
         self.messages[message.id] = message
+        message.attempts = event.attempts
+        if event.maybe_since_ns is not None:  # held before a restart: what was out then may have run
+            message.maybe = True
+            if message.cls.safety is Safety.KEYED:
+                message.window_end = event.maybe_since_ns + message.cls.window_ns
         if message.cls.ordered and message.key:
             self.lines.setdefault(message.key, deque()).append(message)
         if event.tenant < len(self.s.tenants) and self.s.tenants[event.tenant].rate > 0:
@@ -296,6 +301,10 @@
                 message.weight *= self.s.over_share_worth
             else:
                 self.tenant_due[event.tenant] = due
+        ran = message.maybe and message.cls.safety is Safety.UNSAFE
+        if ran or message.attempts >= self.s.max_attempts or message.late <= self.now:
+            self._give_up(message)
+            return dest
         dest.queue.append(message)
         self.actions.append(api.SetTimer(message.id * 2, max(self.now, message.late)))
         return dest
@@ -313,6 +322,11 @@
         self._give_up(message)
         return message.dest
 
+    def may_still_go(self, now: int, endpoint: api.EndpointId) -> bool:
+        """Whether a call that was decided a while ago may leave: no drain and no told wait came between."""
+        route = self.routes.get(endpoint)
+        return route is not None and route.ready and max(route.wait_until, route.dest.wait_until) <= now
+
     def _may_refuse(self, message: Message) -> bool:
         """A refusal promises that a repeat is safe."""
         repeatable = message.cls.safety is Safety.KEYED and not message.cls.zone_bound
--- a/snowlock/interface.py
+++ b/snowlock/interface.py
@@ -77,6 +77,7 @@
     ordered: bool = False
     worth: float = 1.0
     late_worth: float = 0.0
+    name: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +85,7 @@
     """A tenant's share, in messages a second over all forwarders."""
 
     rate: float
+    name: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +119,9 @@
     tip_multiple: float = 2.0
     fall_ns: int = 2_000_000_000
     settle_ns: int = 0
+    columns: tuple[str, ...] = ()  # names of an outcome's load report
+    zones: tuple[str, ...] = ()
+    kinds: tuple[str, ...] = ()  # of destination
 
     def __post_init__(self) -> None:
         """Refuse settings under which no message could be decided."""
@@ -156,7 +161,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """A message was accepted and is owed one final answer."""
+    """A message was accepted and is owed one final answer.
+
+    One held before a restart comes with its past: a call that was out then may have run.
+    """
 
     message: int
     message_class: int
@@ -164,6 +172,8 @@
     time_left_ns: int
     tenant: int = 0
     key: int = 0
+    attempts: int = 0  # made so far
+    maybe_since_ns: int | None = None  # when the first attempt left that may have run
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/snowlock/settings.py
@@ -0,0 +1,118 @@
+"""The one reader of settings: a parsed JSON object to ``Settings``, with errors that name the faulty key."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from snowlock import interface as api
+
+SAFETY = {"free": api.Safety.SAFE, "guarded": api.Safety.KEYED, "single_shot": api.Safety.UNSAFE}
+HINT = {"nominal": api.RateHint.NOMINAL, "rough": api.RateHint.ROUGH}
+MS = 1_000_000
+T = TypeVar("T")
+_NEEDED: Any = object()
+
+
+class SettingsError(ValueError):
+    """A key is missing or holds what it can't; the text names it."""
+
+
+class Section:
+    """An object of parsed JSON that knows its own place, so that errors can name it."""
+
+    def __init__(self, raw: Any, path: str) -> None:
+        if not isinstance(raw, dict):
+            raise SettingsError(f"{path}: an object is needed")
+        self.raw, self.path = raw, path
+
+    def get(self, key: str, kind: Callable[[Any], T], default: Any = _NEEDED) -> T:
+        """The key's value as this kind, or the default where the key is absent."""
+        if key not in self.raw:
+            if default is _NEEDED:
+                raise SettingsError(f"{self.path}.{key}: missing")
+            return default  # type: ignore[no-any-return]
+        try:
+            return kind(self.raw[key])
+        except SettingsError:
+            raise
+        except (ValueError, TypeError, KeyError, OverflowError) as error:
+            raise SettingsError(f"{self.path}.{key}: {self.raw[key]!r:.60} will not do") from error
+
+    def section(self, key: str, optional: bool = False) -> Section:
+        """The object under the key; an empty one where it is optional and absent."""
+        if key not in self.raw and not optional:
+            raise SettingsError(f"{self.path}.{key}: missing")
+        return Section(self.raw.get(key, {}), f"{self.path}.{key}")
+
+    def sections(self, key: str, optional: bool = True) -> list[Section]:
+        """The objects in the list under the key."""
+        rows = self.get(key, _rows, [] if optional else _NEEDED)
+        return [Section(row, f"{self.path}.{key}[{place}]") for place, row in enumerate(rows)]
+
+
+def _rows(value: Any) -> list[Any]:
+    if not isinstance(value, list):
+        raise ValueError
+    return value
+
+
+def _each(kind: Callable[[Any], T]) -> Callable[[Any], tuple[T, ...]]:
+    return lambda value: tuple(kind(item) for item in _rows(value))
+
+
+def read(raw: Any) -> api.Settings:
+    """Settings from the object that an instance is told; unknown keys are ignored."""
+    top = Section(raw, "settings")
+    family, limits, rules = top.section("family_info"), top.section("limits"), top.section("rules")
+    classes = tuple(
+        api.MessageClass(
+            aim_ns=c.get("objective_ns", int),
+            deadline_ns=c.get("deadline_ns", int),
+            safety=c.get("semantics", SAFETY.__getitem__),
+            zone_bound=c.get("key_scope", str, "all") != "all",
+            window_ns=c.get("repeat_window_ns", int, 0),
+            ordered=c.get("one_at_a_time", bool, False),
+            worth=c.get("value", float, 1.0),
+            late_worth=c.get("late_worth", float, 0.0),
+            name=c.get("name", str, ""),
+        )
+        for c in top.sections("classes", optional=False)
+    )
+    report = top.section("load_report", optional=True)
+    columns = report.get("columns", _each(str), ()) if report.get("how", str, "") == "inline" else ()
+    place = {name: index for index, name in enumerate(columns)}
+    return api.Settings(
+        classes=classes,
+        slots=family.get("workers", int),
+        routes_apart=family.get("routes_apart", _each(bool), ()),
+        bundles=family.get("bundle_max", _each(lambda x: max(1, int(x))), ()),
+        tolls=family.get("toll", _each(float), ()),
+        cross_zone_fee=top.section("fees", optional=True).get("cross_zone", float, 0.0),
+        tenants=tuple(
+            api.Tenant(t.get("quota_rps", float, 0.0), t.get("name", str, "")) for t in top.sections("realms")
+        ),
+        over_share_worth=top.get("over_share_worth", float, 1.0),
+        decay=api.Decay.HALVES if family.get("decay", str, "") == "by_half" else api.Decay.EVEN,
+        max_attempts=limits.get("max_attempts", int),
+        max_open=limits.get("max_open", int),
+        max_retry_after_ns=limits.get("max_retry_after_ns", int, 0),
+        tick_ns=top.get("quantum_ns", int),
+        forwarders=top.get("n_instances", int),
+        zone=top.get("zone", int, 0),
+        connect_timeout_ns=limits.get("connect_timeout_ns", int),
+        idle_ns=limits.get("conn_idle_ns", int, 1 << 62),
+        rate_hint=HINT.get(top.get("weights", str, ""), api.RateHint.NONE),
+        share_left_column=place.get("x0"),
+        limit_column=place.get("x1"),
+        must_subscribe=top.get("membership_mode", str, "") == "ask",
+        ask_within_ns=rules.get("ask_within_ns", int, 10_000 * MS),
+        cold_from=rules.get("cold_from", float),
+        ramp_ns=rules.get("ramp_time_ns", int),
+        tip_multiple=rules.get("tip_multiple", float),
+        fall_ns=rules.get("fall_ns", int),
+        settle_ns=rules.get("settle_after_doubt_ns", int, 0),
+        columns=columns,
+        zones=top.get("dcs", _each(str), ()),
+        kinds=top.get("kinds", _each(str), ()),
+    )
--- a/snowlock/wire.py
+++ b/snowlock/wire.py
@@ -6,9 +6,10 @@
 import struct
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Any, Union
+from typing import Union
 
 from snowlock import interface as api
+from snowlock import settings
 
 HEADER = struct.Struct("<IIQ")
 REPLY = struct.Struct("<II")
@@ -28,8 +29,6 @@
 _FOLLOW = struct.Struct("<BHB")
 MS = 1_000_000
 
-SAFETY = {"free": api.Safety.SAFE, "guarded": api.Safety.KEYED, "single_shot": api.Safety.UNSAFE}
-HINT = {"nominal": api.RateHint.NOMINAL, "rough": api.RateHint.ROUGH}
 
 
 class WireError(Exception):
@@ -55,59 +54,9 @@
 def parse_settings(text: bytes) -> api.Settings:
     """Settings from the opening JSON; unknown keys are ignored."""
     try:
-        return _settings(json.loads(text))
-    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
-        raise WireError(f"unusable settings: {error!r}") from error
-
-
-def _settings(raw: dict[str, Any]) -> api.Settings:
-    """The settings behind a parsed JSON object."""
-    family, limits, rules = raw["family_info"], raw["limits"], raw["rules"]
-    classes = tuple(
-        api.MessageClass(
-            aim_ns=int(c["objective_ns"]),
-            deadline_ns=int(c["deadline_ns"]),
-            safety=SAFETY[c["semantics"]],
-            zone_bound=c.get("key_scope", "all") != "all",
-            window_ns=int(c.get("repeat_window_ns", 0)),
-            ordered=bool(c.get("one_at_a_time", False)),
-            worth=float(c.get("value", 1.0)),
-            late_worth=float(c.get("late_worth", 0.0)),
-        )
-        for c in raw["classes"]
-    )
-    report = raw.get("load_report", {})
-    columns = report.get("columns", []) if report.get("how") == "inline" else []
-    place = {name: index for index, name in enumerate(columns)}
-    return api.Settings(
-        classes=classes,
-        slots=int(family["workers"]),
-        routes_apart=tuple(bool(x) for x in family.get("routes_apart", [])),
-        bundles=tuple(max(1, int(x)) for x in family.get("bundle_max", [])),
-        tolls=tuple(float(x) for x in family.get("toll", [])),
-        cross_zone_fee=float(raw.get("fees", {}).get("cross_zone", 0.0)),
-        tenants=tuple(api.Tenant(float(t.get("quota_rps", 0.0))) for t in raw.get("realms", [])),
-        over_share_worth=float(raw.get("over_share_worth", 1.0)),
-        decay=api.Decay.HALVES if family.get("decay") == "by_half" else api.Decay.EVEN,
-        max_attempts=int(limits["max_attempts"]),
-        max_open=int(limits["max_open"]),
-        max_retry_after_ns=int(limits.get("max_retry_after_ns", 0)) if limits.get("retry_after") else 0,
-        tick_ns=int(raw["quantum_ns"]),
-        forwarders=int(raw["n_instances"]),
-        zone=int(raw.get("zone", 0)),
-        connect_timeout_ns=int(limits["connect_timeout_ns"]),
-        idle_ns=int(limits.get("conn_idle_ns", 1 << 62)),
-        rate_hint=HINT.get(raw.get("weights", ""), api.RateHint.NONE),
-        share_left_column=place.get("x0"),
-        limit_column=place.get("x1"),
-        must_subscribe=raw.get("membership_mode") == "ask",
-        ask_within_ns=int(rules.get("ask_within_ns", 10_000 * MS)),
-        cold_from=float(rules["cold_from"]),
-        ramp_ns=int(rules["ramp_time_ns"]),
-        tip_multiple=float(rules["tip_multiple"]),
-        fall_ns=int(rules["fall_ns"]),
-        settle_ns=int(rules.get("settle_after_doubt_ns", 0)),
-    )
+        return settings.read(json.loads(text))
+    except ValueError as error:
+        raise WireError(f"unusable settings: {error}") from error
 
 
 class Decoder:
