Add the SMPP 3.4 front with a stand-in gateway that cuts at every step

Server (contractors bind, submit_sm, receipts as the final answer), client (gateways as next hops), one table of errors.

Seen while testing: with a window of 1 and a throttling answer in mid-clump, messages behind one that was barred by the told wait stayed in the window's line until their deadline (16 s) and came back REJECTD. Cause: Session.room gave the free place to a task whose leave() then said no, and nobody passed it on. Session.pass_on does. Seen too: skipped time made answers late; cause was Nagle's delay on the stand-in's sockets, not the front.

Tests: the connection cut at 7 steps for all three classes, throttling in mid-clump, time-out, restart with calls out, lost receipt, binds, TLVs; random cuts and garbage against the codec. Time is skipped, not slept.

--- a/kestrelspar/__main__.py
+++ b/kestrelspar/__main__.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+from pathlib import Path
 
 from kestrelspar import config
 from kestrelspar.buffers import BufferPool
@@ -17,6 +18,10 @@
 from kestrelspar.http.watch import Watch
 from kestrelspar.journal import Journal
 from kestrelspar.loop import Loop, listen, log
+from kestrelspar.smpp.client import Gateways
+from kestrelspar.smpp.server import SmppServer
+
+SMPP_FILE = Path(__file__).parent.parent / "deploy" / "smpp.json"
 
 
 def _on_signals(loop: Loop, courier: Courier) -> None:
@@ -46,6 +51,7 @@
     """Serve; exit code 0 after SIGTERM, 2 for a configuration that will not do."""
     try:
         told = config.read(os.environ)
+        smpp = config.read_smpp(os.environ.get("KESTRELSPAR_SMPP", str(SMPP_FILE)), told.settings)
     except ValueError as error:
         log(f"configuration: {error}")
         return 2
@@ -56,9 +62,19 @@
     carrier = NextHops(loop, buffers, told.settings, told.sockets // 4)
     notices = Notices(loop, buffers, told.discovery)
     courier.senders[notices.name] = notices
+    if smpp is not None:
+        spare += smpp.most_sessions + len(smpp.gateways) + 1
     most = max(16, told.sockets - told.sockets // 4 - told.settings.slots - spare)
     server = SenderServer(loop, buffers, courier, notices, most)
     watch = Watch(loop, buffers, courier, carrier, told.discovery)
+    if smpp is not None:
+        gateways = Gateways(loop, buffers, told.settings, smpp.gateways)
+        contractors = SmppServer(loop, buffers, courier, smpp)
+        courier.senders[contractors.name] = contractors
+        courier.at_leave += [contractors.leave, gateways.leave]
+        courier.listed(gateways, gateways.hops(), whole=True)
+        loop.spawn(contractors.accept, listen(smpp.listen))
+        log(f"smpp serves on {smpp.listen[0]}:{smpp.listen[1]}, {len(smpp.gateways)} gateways")
     _on_signals(loop, courier)
     listener = listen(told.listen)
     if told.known:
--- a/kestrelspar/config.py
+++ b/kestrelspar/config.py
@@ -4,20 +4,84 @@
 
 import os
 import zlib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import ujson
 
-from kestrelspar.http.watch import address
+from kestrelspar.loop import MS, SECOND
 from snowlock import interface as api
 from snowlock import settings
 
 Section, SettingsError = settings.Section, settings.SettingsError
 
 
+def address(text: Any) -> tuple[str, int]:
+    """HOST:PORT; ``ValueError`` where it is not that."""
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r:.60} is not HOST:PORT")
+    return host, int(port)
+
+
+def place(name: Any, names: tuple[str, ...], what: str) -> int:
+    """The place of a name in the settings' list."""
+    for index, known in enumerate(names):
+        if name == known:
+            return index
+    raise ValueError(f"unknown {what} {name!r:.40}")
+
+
+@dataclass(frozen=True, slots=True)
+class Account:
+    """A contractor that may bind."""
+
+    system_id: str
+    password: str
+    tenant: int
+    cls: int
+    window: int
+
+
+@dataclass(frozen=True, slots=True)
+class Gateway:
+    """An SMPP gateway: a next hop."""
+
+    name: str
+    address: tuple[str, int]
+    dest: int
+    zone: int
+    kind: int
+    system_id: str
+    password: str
+    bind: str
+    window: int
+    response: int  # microseconds, as all times here
+    enquire: int
+    throttle_wait: int
+    source_addr: str
+    destination_addr: str
+
+
+@dataclass(frozen=True, slots=True)
+class Smpp:
+    """The SMPP front."""
+
+    listen: tuple[str, int]
+    system_id: str
+    bind_within: int
+    enquire: int
+    response: int
+    receipt_hold: int
+    most_sessions: int
+    accounts: tuple[Account, ...]
+    service_types: dict[str, int]
+    destinations: dict[str, int]  # by prefix of the destination address
+    gateways: tuple[Gateway, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that the program is told at its start."""
@@ -97,3 +161,83 @@
     if not os.path.isdir(str(value)):
         raise ValueError
     return str(value)
+
+
+def read_smpp(path: str, told: api.Settings) -> Smpp | None:
+    """The SMPP front's file; nothing where it is absent or says that the front is off."""
+    if not os.path.exists(path):
+        return None
+    top = Section(_object_or_error(read_json(path)), "smpp")
+    if not top.get("enabled", _truth, False):
+        return None
+    classes = tuple(c.name for c in told.classes)
+    tenants = tuple(t.name for t in told.tenants)
+
+    def named(names: tuple[str, ...], what: str) -> Callable[[Any], int]:
+        return lambda value: place(value, names, what) if names else 0
+
+    def integers(value: Any) -> dict[str, int]:
+        return {str(key): int(number) for key, number in _object(value).items()}
+
+    accounts = tuple(
+        Account(
+            system_id=a.get("system_id", _text(15)), password=a.get("password", _text(8)),
+            tenant=a.get("tenant", named(tenants, "tenant"), 0), cls=a.get("class", named(classes, "class")),
+            window=int(a.get("window", _positive, 10)),
+        )
+        for a in top.sections("accounts")
+    )
+    gateways = tuple(
+        Gateway(
+            name=g.get("name", _text(40)), address=g.get("address", address),
+            dest=g.get("dest", int), zone=g.get("zone", named(told.zones, "zone"), 0),
+            kind=g.get("kind", named(told.kinds, "kind"), 0),
+            system_id=g.get("system_id", _text(15)), password=g.get("password", _text(8)),
+            bind=g.get("bind", _bind, "transceiver"), window=int(g.get("window", _positive, 10)),
+            response=int(g.get("response_ms", _positive, 10_000) * MS),
+            enquire=int(g.get("enquire_link_ms", _positive, 30_000) * MS),
+            throttle_wait=int(g.get("throttle_wait_ms", _positive, 1_000) * MS),
+            source_addr=g.get("source_addr", _text(20), ""),
+            destination_addr=g.get("destination_addr", _text(20), ""),
+        )
+        for g in top.sections("gateways")
+    )
+    names = [g.name for g in gateways]
+    if len(set(names)) < len(names):
+        raise SettingsError("smpp.gateways: two have one name")
+    return Smpp(
+        listen=top.get("listen", address),
+        system_id=top.get("system_id", _text(15), "kestrelspar"),
+        bind_within=int(top.get("bind_within_ms", _positive, 5_000) * MS),
+        enquire=int(top.get("enquire_link_ms", _positive, 30_000) * MS),
+        response=int(top.get("response_ms", _positive, 5_000) * MS),
+        receipt_hold=int(top.get("receipt_hold_s", _positive, 3_600) * SECOND),
+        most_sessions=int(top.get("most_sessions", _positive, 64)),
+        accounts=accounts,
+        service_types={
+            name: place(cls, classes, f"class for service type {name!r} in smpp.service_types")
+            for name, cls in top.get("service_types", _object, {}).items()
+        },
+        destinations=top.get("destinations", integers, {}),
+        gateways=gateways,
+    )
+
+
+def _truth(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError
+    return value
+
+
+def _text(most: int) -> Callable[[Any], str]:
+    def check(value: Any) -> str:
+        if not isinstance(value, str) or len(value.encode()) > most or "\0" in value:
+            raise ValueError
+        return value
+    return check
+
+
+def _bind(value: Any) -> str:
+    if value not in ("transmitter", "transceiver"):  # a receiver could not submit
+        raise ValueError
+    return str(value)
--- a/kestrelspar/courier.py
+++ b/kestrelspar/courier.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from enum import Enum
 from functools import partial
 from typing import Any, Protocol
 
@@ -45,15 +46,31 @@
     number: int = 0
 
 
+class Reason(Enum):
+    """Why a message is not taken on."""
+
+    CLOSING = "shutting down"
+    FULL = "holds as many messages as it may"
+    DISK = "journal full"
+    UNKNOWN_DEST = "unknown destination"
+    PLUGIN = "plug-in"
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """The answer to a hand-in: taken on, deferred (come again), or rejected (not to be handed in again)."""
 
     taken: bool
     defer: bool = False
-    reason: str = ""
+    why: Reason = Reason.CLOSING
+    text: str = ""
     come_back: int = COME_BACK
 
+    @property
+    def reason(self) -> str:
+        """For logs and people."""
+        return f"{self.why.value} {self.text}".strip()
+
 
 TAKEN_ON = Answer(True)
 
@@ -127,6 +144,7 @@
     def __init__(self, loop: Loop, settings: api.Settings, seed: int, journal: Journal) -> None:
         self.loop, self.settings, self.journal = loop, settings, journal
         self.senders: dict[str, SenderSide] = {}
+        self.at_leave: list[Callable[[], None]] = []  # the fronts' farewells
         self.hooks: list[Hook] = []
         self.hops: dict[api.EndpointId, NextHop] = {}
         self.dests: set[int] = set()  # ever listed
@@ -156,7 +174,7 @@
         message.number = self._last
         text = ujson.dumps(self._text(message))
         if not self.journal.taken(message.number, message.deadline, text, message.body):
-            answer(Answer(False, True, "journal full"))
+            answer(Answer(False, True, Reason.DISK))
             return
         self.open[message.number] = message
         if not answer(TAKEN_ON):  # it went away unanswered and may hand it in elsewhere: not ours
@@ -232,16 +250,16 @@
     def _door(self, message: Message) -> Answer | None:
         """Why the message can't be taken on now, if so."""
         if self.closing is not None:
-            return Answer(False, True, "shutting down")
+            return Answer(False, True, Reason.CLOSING)
         for hook in self.hooks:
             verdict = hook.arrival(message)
             if verdict is not None:
                 return verdict
         if message.dest not in self.dests:
             # The list at start may be old, so a destination that it lacks may exist.
-            return Answer(False, not self.map_current, f"unknown destination {message.dest}")
+            return Answer(False, not self.map_current, Reason.UNKNOWN_DEST, str(message.dest))
         if len(self.open) >= self.settings.max_open:
-            return Answer(False, True, "holds as many messages as it may")
+            return Answer(False, True, Reason.FULL)
         return None
 
     def _text(self, message: Message) -> dict[str, Any]:
@@ -362,6 +380,10 @@
             self.loop.sleep(10 * MS)
             if self.loop.now > self.closing + NO_NEW_ATTEMPTS and not self.out:
                 break
+        for farewell in self.at_leave:
+            farewell()
+        if self.at_leave:
+            self.loop.sleep(50 * MS)
         log(f"closed: {len(self.journal.entries)} messages stay in the journal, {self.out} attempts out")
         self.loop.stop()
 
--- a/kestrelspar/http/sender.py
+++ b/kestrelspar/http/sender.py
@@ -137,7 +137,7 @@
                 elif given.taken or given.defer:
                     wait = {"Retry-After": f"{given.come_back / SECOND:g}"}
                     stream.write(parser.response(503, keep=keep, headers=wait), self.loop.now + WRITE_WITHIN)
-                    log(f"deferred {message.trace}: {given.reason or 'client gone'}")
+                    log(f"deferred {message.trace}: {'client gone' if given.taken else given.reason}")
                 else:
                     log(f"rejected {message.trace}: {given.reason}")
                     stream.write(parser.response(422, f"{given.reason}\n".encode(), keep=keep),
--- a/kestrelspar/http/watch.py
+++ b/kestrelspar/http/watch.py
@@ -7,6 +7,7 @@
 import ujson
 
 from kestrelspar.buffers import BufferPool, Closed, Late, Stream
+from kestrelspar.config import address, place
 from kestrelspar.courier import Carrier, Courier, NextHop
 from kestrelspar.http import parser
 from kestrelspar.loop import MS, SECOND, Loop, connect, log
@@ -19,28 +20,12 @@
           "left": api.EndpointState.GONE}
 
 
-def address(text: Any) -> tuple[str, int]:
-    """HOST:PORT; ``ValueError`` where it is not that."""
-    host, colon, port = str(text).rpartition(":")
-    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError(f"{text!r:.60} is not HOST:PORT")
-    return host, int(port)
-
-
-def _place(name: Any, names: tuple[str, ...], what: str) -> int:
-    """The place of a name in the settings' list."""
-    for index, known in enumerate(names):
-        if name == known:
-            return index
-    raise ValueError(f"unknown {what} {name!r:.40}")
-
-
 def entry(raw: Any, settings: api.Settings, carrier: Carrier) -> NextHop:
     """One entry of the list; ``ValueError``, ``KeyError`` or ``TypeError`` where it will not do."""
     state = STATES[raw["status"]]
     endpoint = api.Endpoint(
-        str(raw["name"]).encode(), int(raw["group"]), _place(raw.get("zone"), settings.zones, "zone"),
-        _place(raw.get("type"), settings.kinds, "type"), state, float(raw.get("weight", 1.0)),
+        str(raw["name"]).encode(), int(raw["group"]), place(raw.get("zone"), settings.zones, "zone"),
+        place(raw.get("type"), settings.kinds, "type"), state, float(raw.get("weight", 1.0)),
     )
     return NextHop(endpoint, address(raw["address"]), carrier)
 
--- a/kestrelspar/loop.py
+++ b/kestrelspar/loop.py
@@ -33,6 +33,11 @@
         sys.stdout = None
 
 
+def clock() -> int:
+    """The monotonic clock in microseconds."""
+    return time.monotonic_ns() // 1000
+
+
 class Timer:
     """A call at a time; ``cancel`` makes it void."""
 
@@ -64,8 +69,9 @@
 class Loop:
     """Runs tasks; each turn reads the clock, polls, and runs what is ready."""
 
-    def __init__(self) -> None:
-        self.now = time.monotonic_ns() // 1000
+    def __init__(self, clock: Callable[[], int] = clock) -> None:
+        self.clock = clock
+        self.now = clock()
         self._poll = select.poll()
         self._waits: dict[int, dict[int, Parking]] = {}  # by descriptor and READ or WRITE
         self._timers: list[tuple[int, int, Timer]] = []
@@ -162,10 +168,10 @@
         if not self._ready:
             wait = 1000
             if self._timers:
-                ahead = self._timers[0][0] - time.monotonic_ns() // 1000
+                ahead = self._timers[0][0] - self.clock()
                 wait = min(wait, max(0, -(-ahead // MS)))
         events = self._poll.poll(wait)
-        self.now = time.monotonic_ns() // 1000
+        self.now = self.clock()
         for descriptor, what in events:
             waits = self._waits.get(descriptor, {})
             failed = what & ~(READ | WRITE)
--- /dev/null
+++ b/kestrelspar/smpp/client.py
@@ -0,0 +1,156 @@
+"""Delivery attempts over SMPP: sessions to gateways, bound when first needed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from kestrelspar.buffers import BufferPool, Late, Stream
+from kestrelspar.config import Gateway
+from kestrelspar.courier import Message, NextHop, Result
+from kestrelspar.loop import LATE, Loop, Parking, connect, log
+from kestrelspar.smpp import errors
+from kestrelspar.smpp import pdu as p
+from kestrelspar.smpp.pdu import Command, Pdu
+from kestrelspar.smpp.session import Lost, NotSent, Session
+from snowlock import interface as api
+from snowlock.interface import Outcome
+
+BINDS = {"transmitter": Command.BIND_TRANSMITTER, "receiver": Command.BIND_RECEIVER,
+         "transceiver": Command.BIND_TRANSCEIVER}
+
+
+class Link:
+    """The one session to a gateway; those who need it while it is being bound wait for the same bind."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self.gateway = gateway
+        self.session: Session | None = None
+        self.binding = False
+        self.waiting: list[Parking] = []
+
+
+class Gateways:
+    """Makes delivery attempts to SMPP gateways."""
+
+    def __init__(self, loop: Loop, buffers: BufferPool, settings: api.Settings,
+                 gateways: tuple[Gateway, ...]) -> None:
+        self.loop, self.buffers, self.settings = loop, buffers, settings
+        self._links = {gateway.name.encode(): Link(gateway) for gateway in gateways}
+
+    def hops(self) -> list[NextHop]:
+        """The gateways as entries of the transport map."""
+        return [
+            NextHop(api.Endpoint(name, link.gateway.dest, link.gateway.zone, link.gateway.kind),
+                    link.gateway.address, self)
+            for name, link in self._links.items()
+        ]
+
+    def attempt(self, message: Message, hop: NextHop, deadline: int, leave: Callable[[], bool]) -> Result:
+        """One delivery attempt, from bind to outcome."""
+        link = self._links[hop.endpoint.id]
+        gateway = link.gateway
+        try:
+            request = submit(message, gateway)
+            p.encode(request)
+        except ValueError as error:
+            log(f"{message.trace} can't go to {gateway.name}: {error}")
+            return Result(Outcome.MOOT, note="no submit_sm can hold it")
+        session = self._bound(link, min(deadline, self.loop.now + self.settings.connect_timeout_ns // 1000))
+        if session is None:
+            return Result(Outcome.CONNECT_FAILED)
+        if not session.room(gateway.window, deadline):
+            if session.closed:
+                return Result(Outcome.CONNECT_FAILED, note="session ended")
+            return Result(Outcome.MOOT, note="window full")
+        # Others of its clump may have been throttled while it waited for the bind or for the window.
+        if not leave():
+            session.pass_on()
+            return Result(Outcome.MOOT, note="barred meanwhile")
+        try:
+            answer = session.ask(request, min(deadline, self.loop.now + gateway.response))
+        except NotSent:
+            return Result(Outcome.CONNECT_FAILED, note="broke before the last byte")
+        except Lost:
+            return Result(Outcome.RESET)
+        except Late:
+            return Result(Outcome.TIMEOUT)
+        return errors.result(answer.status, gateway.throttle_wait)
+
+    def _bound(self, link: Link, deadline: int) -> Session | None:
+        """The bound session, or nothing when connection or bind failed."""
+        if link.session is not None and not link.session.closed and not link.session.stream.ended():
+            return link.session
+        if link.session is not None:
+            link.session.close()
+            link.session = None
+        if link.binding:
+            turn = Parking(self.loop)
+            link.waiting.append(turn)
+            session = self.loop.park(turn, deadline)
+            return None if session is LATE or session is None or session.closed else session
+        link.binding = True
+        try:
+            link.session = self._bind(link.gateway, deadline)
+        finally:
+            link.binding = False
+            waiting, link.waiting = link.waiting, []
+            for turn in waiting:
+                turn.resume(link.session)
+        return link.session
+
+    def _bind(self, gateway: Gateway, deadline: int) -> Session | None:
+        sock = connect(self.loop, gateway.address, deadline)
+        if sock is None:
+            return None
+        stream = Stream(self.loop, sock, self.buffers)
+        session = Session(self.loop, stream, gateway.name, gateway.enquire, gateway.response)
+        self.loop.spawn(session.run, lambda pdu: self._handle(session, pdu))
+        bind = Pdu(BINDS[gateway.bind], fields={
+            "system_id": gateway.system_id, "password": gateway.password, "interface_version": 0x34,
+        })
+        try:
+            answer = session.ask(bind, deadline)
+        except (NotSent, Lost, Late):
+            session.close()
+            return None
+        if answer.status:
+            log(f"smpp {gateway.name}: bind refused with status {answer.status:#x}")
+            session.close()
+            return None
+        return session
+
+    @staticmethod
+    def _handle(session: Session, pdu: Pdu) -> None:
+        """What a gateway asks of us: its deliver_sm are answered, but nobody here is waiting for them."""
+        if pdu.command is Command.DELIVER_SM:
+            log(f"smpp {session.name}: deliver_sm from {pdu.text('source_addr')!r} is not passed on")
+            session.post(pdu.reply())
+        else:
+            session.post(Pdu(Command.GENERIC_NACK, pdu.sequence, p.Status.ESME_RINVCMDID))
+
+    def close_idle(self, hop: NextHop) -> None:
+        """End the gateway's session if nothing is out on it."""
+        link = self._links[hop.endpoint.id]
+        if link.session is not None and not link.session.outstanding:
+            self.loop.spawn(link.session.unbind)
+            link.session = None
+
+    def leave(self) -> None:
+        """Unbind everywhere."""
+        for link in self._links.values():
+            if link.session is not None:
+                self.loop.spawn(link.session.unbind)
+
+
+def submit(message: Message, gateway: Gateway) -> Pdu:
+    """The submit_sm for a message, whichever front it came by; TLVs are carried as they came."""
+    told = message.extra.get("smpp", {})
+    fields = {name: told[name] for name in p.SM_FIELDS if name in told}
+    fields.setdefault("source_addr", gateway.source_addr)
+    fields.setdefault("destination_addr", gateway.destination_addr)
+    fields.update(registered_delivery=0, schedule_delivery_time="", validity_period="")
+    tlvs = [(int(tag), bytes.fromhex(value)) for tag, value in message.extra.get("tlvs", [])]
+    if len(message.body) > 254 or message.extra.get("payload"):
+        return Pdu(Command.SUBMIT_SM, fields=fields, tlvs=[*tlvs, (p.MESSAGE_PAYLOAD, message.body)])
+    return Pdu(Command.SUBMIT_SM, fields=fields, message=message.body, tlvs=tlvs)
+
--- /dev/null
+++ b/kestrelspar/smpp/errors.py
@@ -0,0 +1,50 @@
+"""The tables between SMPP's errors and the core's outcomes and answers."""
+
+from __future__ import annotations
+
+from kestrelspar.courier import DELIVERED, RETURNED, Answer, End, Reason, Result
+from kestrelspar.smpp.pdu import Status
+from snowlock.interface import Outcome
+
+# A gateway's command_status in submit_sm_resp. What is not listed may have run: an error.
+OUTCOMES = {
+    Status.ESME_ROK: Outcome.OK,
+    Status.ESME_RTHROTTLED: Outcome.FULL,
+    Status.ESME_RMSGQFUL: Outcome.FULL,
+    Status.ESME_RINVBNDSTS: Outcome.CONNECT_FAILED,  # it takes us for not bound: nothing was looked at
+}
+
+# What a client is answered that could not hand its message in.
+ANSWERS = {
+    Reason.CLOSING: Status.ESME_RTHROTTLED,
+    Reason.FULL: Status.ESME_RMSGQFUL,
+    Reason.DISK: Status.ESME_RMSGQFUL,
+    Reason.PLUGIN: Status.ESME_RTHROTTLED,
+    Reason.UNKNOWN_DEST: Status.ESME_RTHROTTLED,
+}
+REJECTIONS = {Reason.UNKNOWN_DEST: Status.ESME_RINVDSTADR}
+
+DELIVRD, EXPIRED, UNDELIV, REJECTD = (2, "DELIVRD"), (3, "EXPIRED"), (5, "UNDELIV"), (8, "REJECTD")
+
+
+def result(status: int, throttle_wait: int) -> Result:
+    """A gateway's answer as an outcome; SMPP tells no wait, so the gateway's configured one stands for it."""
+    outcome = OUTCOMES.get(status, Outcome.ERROR)  # type: ignore[call-overload]
+    wait = throttle_wait if outcome is Outcome.FULL else 0
+    return Result(outcome, wait, note=f"status {status:#x}" if status else "")
+
+
+def status(answer: Answer) -> Status:
+    """The command_status for a message that was not taken on."""
+    if answer.defer:
+        return ANSWERS[answer.why]
+    return REJECTIONS.get(answer.why, Status.ESME_RSUBMITFAIL)
+
+
+def state(end: End, late: bool) -> tuple[int, str]:
+    """A receipt's message_state. REJECTD: handing it in again is harmless."""
+    if end.state == DELIVERED:
+        return DELIVRD
+    if end.state == RETURNED:
+        return REJECTD
+    return EXPIRED if late else UNDELIV
--- /dev/null
+++ b/kestrelspar/smpp/session.py
@@ -0,0 +1,183 @@
+"""One SMPP connection, from either side: requests matched to responses, enquire_link, unbind."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from kestrelspar.buffers import Closed, Late, Stream
+from kestrelspar.loop import LATE, Loop, Parking, log
+from kestrelspar.smpp import pdu as p
+from kestrelspar.smpp.pdu import Command, Pdu, Status
+
+
+class NotSent(Exception):
+    """The session ended, or time was over, before the request's last byte was written."""
+
+
+class Lost(Exception):
+    """The session ended after the request was written and before its response came."""
+
+
+class Session:
+    """Reads in one task; any task may write or ask."""
+
+    def __init__(self, loop: Loop, stream: Stream, name: str, enquire: int, answer_within: int) -> None:
+        self.loop, self.stream, self.name = loop, stream, name
+        self._enquire, self._answer_within = enquire, answer_within
+        self.closed = False
+        self.outstanding = 0  # requests without a response
+        self.heard = loop.now
+        self._sequence = 0
+        self._pending: dict[int, Parking] = {}
+        self._writing = False
+        self._turns: list[Parking] = []  # of those who want to write
+        self._room: list[Parking] = []  # of those who wait for the window
+
+    def run(self, handle: Callable[[Pdu], None]) -> None:
+        """Read until the session ends. ``handle`` gets the requests; it must not wait."""
+        self.loop.spawn(self._beat)
+        try:
+            while not self.closed:
+                if not (size := p.whole(self.stream.unread)):
+                    self.stream.fill(None)
+                    continue
+                data = bytes(self.stream.unread[:size])
+                self.stream.consume(size)
+                self.heard = self.loop.now
+                try:
+                    self._take(p.decode(data), handle)
+                except p.BadPdu as error:
+                    self._reject(error)
+        except p.BadLength as error:
+            log(f"smpp {self.name}: {error}, closed")
+            self.post(Pdu(Command.GENERIC_NACK, 0, Status.ESME_RINVCMDLEN))
+        except (Closed, Late):
+            pass
+        finally:
+            self.close()
+
+    def _take(self, pdu: Pdu, handle: Callable[[Pdu], None]) -> None:
+        if pdu.command & p.RESPONSE:
+            waiting = self._pending.pop(pdu.sequence, None)
+            if waiting is not None:
+                waiting.resume(pdu)
+            else:  # its request has been given up
+                log(f"smpp {self.name}: {pdu.command.name.lower()} {pdu.sequence} came too late")
+        elif pdu.command is Command.ENQUIRE_LINK:
+            self.post(pdu.reply())
+        elif pdu.command is Command.UNBIND:
+            self.post(pdu.reply())
+            self.close()
+        else:
+            handle(pdu)
+
+    def _reject(self, error: p.BadPdu) -> None:
+        """Answer a body that will not do with its response, an unknown command with a generic_nack."""
+        log(f"smpp {self.name}: {error}")
+        if error.command & p.RESPONSE:
+            waiting = self._pending.pop(error.sequence, None)
+            if waiting is not None:  # an answer that nobody can read: the request may have run
+                waiting.resume(Pdu(Command.GENERIC_NACK, error.sequence, Status.ESME_RSYSERR))
+            return
+        answerable = error.status is not Status.ESME_RINVCMDID and error.command != Command.OUTBIND
+        command = Command(error.command | p.RESPONSE) if answerable else Command.GENERIC_NACK
+        self.post(Pdu(command, error.sequence, error.status))
+
+    def post(self, pdu: Pdu) -> bool:
+        """Write a PDU that nobody answers; whether it was written."""
+        try:
+            self._write(p.encode(pdu), self.loop.now + self._answer_within)
+        except NotSent:
+            return False
+        return True
+
+    def ask(self, pdu: Pdu, deadline: int) -> Pdu:
+        """Write a request and wait for its response. ``NotSent``, ``Lost`` or ``Late`` if there is none."""
+        self._sequence = self._sequence % 0x7FFFFFFF + 1
+        pdu.sequence = self._sequence
+        waiting = Parking(self.loop)
+        self._pending[pdu.sequence] = waiting
+        self.outstanding += 1
+        try:
+            self._write(p.encode(pdu), deadline)
+            answer = self.loop.park(waiting, deadline)
+        finally:
+            self._pending.pop(pdu.sequence, None)
+            self.outstanding -= 1
+            self.pass_on()
+        if answer is LATE:
+            raise Late
+        if answer is None:
+            raise Lost
+        assert isinstance(answer, Pdu)
+        return answer
+
+    def room(self, window: int, deadline: int) -> bool:
+        """Wait until fewer than ``window`` requests are out; false when time is over or the session ended."""
+        while not self.closed and self.outstanding >= window:
+            turn = Parking(self.loop)
+            self._room.append(turn)
+            if self.loop.park(turn, deadline) is LATE:
+                if turn in self._room:
+                    self._room.remove(turn)
+                return False
+        return not self.closed
+
+    def pass_on(self) -> None:
+        """Let the next in line have the room: after an answer, or from one who was given it and did not ask.
+
+        Else those behind it would wait for an answer that nobody has coming, until their time is over.
+        """
+        if self._room:
+            self._room.pop(0).resume()
+
+    def _write(self, data: bytes, deadline: int) -> None:
+        """Write whole PDUs one after the other, whoever asks; one cut short ends the session."""
+        while self._writing and not self.closed:
+            turn = Parking(self.loop)
+            self._turns.append(turn)
+            if self.loop.park(turn, deadline) is LATE:
+                raise NotSent
+        if self.closed:
+            raise NotSent
+        self._writing = True
+        try:
+            self.stream.write(data, deadline)
+        except (Closed, Late):
+            self.close()
+            raise NotSent from None
+        finally:
+            self._writing = False
+            if self._turns:
+                self._turns.pop(0).resume()
+
+    def _beat(self) -> None:
+        """Ask whether the link is up when nothing has been heard for a while; end it when nobody answers."""
+        while not self.closed:
+            self.loop.sleep(max(1_000, self.heard + self._enquire - self.loop.now))
+            if self.closed or self.loop.now - self.heard < self._enquire:
+                continue
+            try:
+                self.ask(Pdu(Command.ENQUIRE_LINK), self.loop.now + self._answer_within)
+            except (NotSent, Lost, Late):
+                if not self.closed:
+                    log(f"smpp {self.name}: link does not answer, closed")
+                    self.close()
+
+    def unbind(self) -> None:
+        """End the session in order."""
+        try:
+            if not self.closed:
+                self.ask(Pdu(Command.UNBIND), self.loop.now + self._answer_within)
+        except (NotSent, Lost, Late):
+            pass
+        self.close()
+
+    def close(self) -> None:
+        """End the session; requests without a response are lost."""
+        if self.closed:
+            return
+        self.closed = True
+        self.stream.close()
+        for parking in [*self._pending.values(), *self._turns, *self._room]:
+            parking.resume(None)
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,116 @@
+"""The journal: what was taken on comes back, whatever happened to the file's end."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kestrelspar import journal as j
+
+FIXED = settings(derandomize=True, deadline=None, max_examples=60)
+
+
+def opened(folder: Path, limit: int = 3_000_000) -> j.Journal:
+    return j.Journal(str(folder), limit)
+
+
+def on_disk(folder: Path) -> int:
+    return sum(-(-file.stat().st_size // 512) * 512 for file in folder.iterdir())
+
+
+def test_open_messages_come_back_with_their_past(tmp_path: Path) -> None:
+    log = opened(tmp_path)
+    for number in (1, 2, 3):
+        assert log.taken(number, 9_000_000 + number, '{"trace":"t"}', b"body")
+    assert log.attempt(1, 0, 111) and log.attempt(1, 1, 222)
+    log.not_run(1, 0)
+    log.verdict(2, "returned", 500)
+    log.done(3)
+    for _ in range(2):  # the second time from the compacted file
+        log = opened(tmp_path)
+        assert set(log.entries) == {1, 2}
+        one, two = log.entries[1], log.entries[2]
+        assert (one.attempts, one.maybe_since, one.body, one.deadline) == (2, 222, b"body", 9_000_001)
+        assert (two.verdict, two.after_ms, two.maybe_since) == ("returned", 500, None)
+
+
+def test_attempts_that_never_ran_still_count_after_a_restart(tmp_path: Path) -> None:
+    log = opened(tmp_path)
+    log.taken(1, 5, "{}", b"")
+    log.attempt(1, 0, 10)
+    log.not_run(1, 0)
+    for _ in range(3):
+        log = opened(tmp_path)
+        assert (log.entries[1].attempts, log.entries[1].maybe_since) == (1, None)
+
+
+@FIXED
+@given(st.integers(0, 400), st.binary(max_size=60))
+def test_any_torn_tail_is_cut_and_the_rest_kept(tmp_path_factory: pytest.TempPathFactory, cut: int,
+                                                garbage: bytes) -> None:
+    folder = tmp_path_factory.mktemp("torn")
+    log = opened(folder)
+    for number in range(1, 6):
+        log.taken(number, 100, "{}", b"x" * number)
+    path = folder / "journal"
+    whole = path.read_bytes()
+    path.write_bytes(whole[: min(cut, len(whole))] + garbage)
+    again = opened(folder)
+    assert set(again.entries) <= set(range(1, 6)) and list(again.entries) == sorted(again.entries)
+    assert all(entry.body == b"x" * number for number, entry in again.entries.items())
+    assert again.taken(9, 1, "{}", b"after")
+    assert opened(folder).entries[9].body == b"after"
+
+
+def test_a_bad_record_is_passed_over_and_logged(tmp_path: Path, capfd: pytest.CaptureFixture[str]) -> None:
+    log = opened(tmp_path)
+    for number in (1, 2):
+        log.taken(number, 100, "{}", b"body%d" % number)
+    data = bytearray((tmp_path / "journal").read_bytes())
+    data[data.index(b"body1")] ^= 255
+    (tmp_path / "journal").write_bytes(data)
+    assert set(opened(tmp_path).entries) == {2}
+    assert "1 bad records" in capfd.readouterr().out
+
+
+def test_the_folder_stays_within_its_limit_and_says_when_it_is_full(tmp_path: Path) -> None:
+    limit = 200_000
+    log, held = opened(tmp_path, limit), []
+    for number in range(1, 400):
+        if log.taken(number, 100, "{}", bytes(3000)):
+            held.append(number)
+            assert log.attempt(number, 0, 5)
+        assert on_disk(tmp_path) <= limit
+        if number % 3 == 0 and held:
+            log.verdict(held[0], "failed", 0)
+            log.done(held.pop(0))
+    assert 0 < len(held) < 100 and set(opened(tmp_path, limit).entries) == set(held)
+
+
+def test_a_full_disk_defers_and_breaks_nothing(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    log = opened(tmp_path)
+    log.taken(1, 100, "{}", b"kept")
+    real = os.write
+
+    def cut_short(file: int, data: bytes) -> int:
+        real(file, data[: len(data) // 2])
+        raise OSError(28, "no space left")
+
+    monkeypatch.setattr(j.os, "write", cut_short)
+    assert not log.taken(2, 100, "{}", b"lost") and not log.attempt(1, 0, 5)
+    monkeypatch.undo()
+    assert log.taken(3, 100, "{}", b"later")
+    assert set(opened(tmp_path).entries) == {1, 3}
+
+
+def test_times_of_another_clock_are_moved(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    log = opened(tmp_path)
+    log.taken(1, 50_000_000, "{}", b"")
+    real = j.time.monotonic_ns
+    monkeypatch.setattr(j.time, "monotonic_ns", lambda: real() - 30_000_000_000)  # the clock began anew
+    deadline = opened(tmp_path).entries[1].deadline
+    assert abs(deadline - 20_000_000) < 1_000_000
--- /dev/null
+++ b/tests/test_smpp.py
@@ -0,0 +1,300 @@
+"""SMPP on the same core: one final answer each, resends only as the class allows, waits obeyed."""
+
+from __future__ import annotations
+
+import struct
+from datetime import UTC, datetime
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kestrelspar.config import Gateway
+from kestrelspar.loop import MS, SECOND, connect
+from kestrelspar.smpp import pdu as p
+from kestrelspar.smpp.client import Gateways
+from kestrelspar.smpp.pdu import Command, Pdu, Status
+from kestrelspar.smpp.server import SmppServer, validity
+from tests.bench import Scene, listener
+from tests.smpp_standins import CUTS, StandInContractor, StandInGateway, front, gateway
+
+FIXED = settings(derandomize=True, deadline=None, max_examples=80)
+NAMES = {"RD": "reading", "WO": "work-order", "PAY": "payment"}
+DELIVRD, UNDELIV, REJECTD = 2, 5, 8
+words = st.text(st.characters(min_codepoint=33, max_codepoint=126), max_size=5)
+numbers = st.integers(0, 255)
+
+
+class Stage(Scene):
+    """A courier with the SMPP front, in one process; ``again`` starts the next process on the same folder."""
+
+    def __init__(self, folder: Path, *gateways: Gateway, **more: object) -> None:
+        super().__init__(folder, **more)
+        self.folder = folder
+        self.listener, self.address = listener()
+        self.server = SmppServer(self.loop, self.buffers, self.courier, front(gateways))
+        self.courier.senders["smpp"] = self.server
+        self.gates = Gateways(self.loop, self.buffers, self.courier.settings, gateways)
+        self.courier.map_current = True
+        if gateways:
+            self.open(*gateways)
+
+    def open(self, *gateways: Gateway) -> None:
+        self.gates = Gateways(self.loop, self.buffers, self.courier.settings, gateways)
+        self.courier.listed(self.gates, self.gates.hops(), whole=True)
+        self.courier.resume()
+        self.loop.spawn(self.server.accept, self.listener)
+
+    def contractor(self, bind: Command = Command.BIND_TRANSCEIVER,
+                   password: str = "secret") -> StandInContractor:
+        made: list[StandInContractor] = []
+        self.loop.spawn(lambda: made.append(
+            StandInContractor(self.loop, self, self.address, bind, password)))
+        self.until(lambda: made and made[0].answers)
+        return made[0]
+
+
+def submit_all(stage: Stage, contractor: StandInContractor, service: str, count: int) -> list[bytes]:
+    texts = [f"{service}-{i}".encode() for i in range(count)]
+    stage.loop.spawn(lambda: [contractor.submit(text, service) for text in texts])
+    stage.until(lambda: len(contractor.answers) == 1 + count)
+    return texts
+
+
+@pytest.mark.parametrize("service", ["RD", "WO", "PAY"])
+@pytest.mark.parametrize("cut", CUTS)
+def test_a_cut_at_every_step(tmp_path: Path, cut: str, service: str) -> None:
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage, cut)
+    stage.open(gateway(gate.address))
+    contractor = stage.contractor()
+    texts = submit_all(stage, contractor, service, 3)
+    stage.until(lambda: len(contractor.ends()) == 3 and not stage.journal.entries)
+    assert gate.cuts == 0, "the cut was never made"
+    ends = contractor.ends()
+    assert len(contractor.receipts) == 3 and set(ends) == set(contractor.accepted())
+    assert all(len(states) == 1 for states in ends.values())
+    states = sorted(next(iter(s)) for s in ends.values())
+    if service == "PAY":  # what may have run is failed, and never goes again
+        assert all(gate.effects[text] <= 1 for text in texts)
+        assert set(states) <= {DELIVRD, UNDELIV}
+        if cut in ("accept", "bind", "bound", "cut short", "answered"):
+            assert gate.effects.total() >= states.count(DELIVRD)
+        else:
+            assert UNDELIV in states
+    else:
+        assert states == [DELIVRD] * 3 and all(gate.effects[text] >= 1 for text in texts)
+    if service == "WO":
+        assert all(gate.last[text] - gate.first[text] < 7_500 * MS for text in texts)
+
+
+def test_throttling_in_mid_clump_is_obeyed_by_all_messages(tmp_path: Path) -> None:
+    told: list[int] = []
+
+    def script(_: Pdu) -> int:
+        if len(gate.calls) == 2:
+            told.append(stage.loop.now)
+            return Status.ESME_RTHROTTLED
+        return 0
+
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage, script=script)
+    stage.open(gateway(gate.address, window=1))
+    contractor = stage.contractor()
+    texts = submit_all(stage, contractor, "PAY", 6)
+    stage.until(lambda: len(contractor.ends()) == 6)
+    assert set(map(frozenset, contractor.ends().values())) == {frozenset({DELIVRD})}
+    assert all(gate.effects[text] == 1 for text in texts)
+    assert not [at for at in gate.calls if told[0] < at < told[0] + 300 * MS], "sent during a told wait"
+    assert gate.most_out == 1, "more out at once than the window"
+
+
+def test_a_time_out_resends_only_what_may_be_resent(tmp_path: Path) -> None:
+    silent: set[bytes] = set()
+
+    def script(pdu: Pdu) -> int | None:
+        first = pdu.message not in silent
+        silent.add(pdu.message)
+        return None if first else 0
+
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage, script=script)
+    stage.open(gateway(gate.address))
+    contractor = stage.contractor()
+    submit_all(stage, contractor, "RD", 1)
+    submit_all_more(stage, contractor, b"PAY-9", "PAY")
+    stage.until(lambda: len(contractor.ends()) == 2)
+    assert gate.effects[b"RD-0"] == 2 and gate.effects[b"PAY-9"] == 1
+    assert sorted(next(iter(s)) for s in contractor.ends().values()) == [DELIVRD, UNDELIV]
+
+
+def submit_all_more(stage: Stage, contractor: StandInContractor, text: bytes, service: str) -> None:
+    before = len(contractor.answers)
+    stage.loop.spawn(lambda: contractor.submit(text, service))
+    stage.until(lambda: len(contractor.answers) > before)
+
+
+@pytest.mark.parametrize("service", ["RD", "WO", "PAY"])
+def test_a_restart_with_calls_out_owes_each_message_its_end(tmp_path: Path, service: str) -> None:
+    old = Stage(tmp_path)
+    mute = StandInGateway(old, script=lambda _: None)
+    old.open(gateway(mute.address, response=10 * SECOND))
+    contractor = old.contractor()
+    texts = submit_all(old, contractor, service, 2)
+    old.until(lambda: len(mute.calls) == 2)
+    taken = contractor.accepted()  # and now the process is killed: nothing of it runs any more
+    new = Stage(tmp_path)
+    gate = StandInGateway(new)
+    new.open(gateway(gate.address))
+    late = new.contractor(Command.BIND_RECEIVER)
+    new.until(lambda: len(late.ends()) == 2)
+    assert set(late.ends()) == set(taken) and len(late.receipts) == 2
+    wanted = {UNDELIV} if service == "PAY" else {DELIVRD}
+    assert all(states == wanted for states in late.ends().values())
+    assert all(gate.effects[text] == (0 if service == "PAY" else 1) for text in texts)
+
+
+def test_a_receipt_that_was_not_acknowledged_comes_again_the_same(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage)
+    stage.open(gateway(gate.address))
+    first = stage.contractor()
+    first.drop_receipts = 1
+    submit_all(stage, first, "PAY", 1)
+    stage.until(lambda: first.receipts)
+    second = stage.contractor(Command.BIND_RECEIVER)
+    stage.until(lambda: second.receipts and not stage.journal.entries)
+    assert second.ends() == first.ends() and gate.effects[b"PAY-0"] == 1
+
+
+def test_a_full_courier_says_so_and_keeps_nothing(tmp_path: Path) -> None:
+    stage = Stage(tmp_path, max_open=2)
+    mute = StandInGateway(stage, script=lambda _: None)
+    stage.open(gateway(mute.address, response=10 * SECOND))
+    contractor = stage.contractor()
+    submit_all(stage, contractor, "PAY", 3)
+    assert [a.status for a in contractor.answers[1:]].count(Status.ESME_RMSGQFUL) == 1
+    assert len(stage.journal.entries) == 2
+    stage.courier.closing = stage.loop.now
+    submit_all_more(stage, contractor, b"x", "RD")
+    assert contractor.answers[-1].status == Status.ESME_RTHROTTLED
+
+
+def test_binds_and_bad_submits_get_the_fitting_status(tmp_path: Path) -> None:
+    stage = Stage(tmp_path, gateway(("127.0.0.1", 9)))
+    assert stage.contractor(password="wrong").answers[0].status == Status.ESME_RINVPASWD
+    receiver = stage.contractor(Command.BIND_RECEIVER)
+    submit_all_more(stage, receiver, b"x", "RD")
+    assert receiver.answers[-1].status == Status.ESME_RINVBNDSTS
+    sender = stage.contractor(Command.BIND_TRANSMITTER)
+    for fields, status in (
+        ({"service_type": "NO"}, Status.ESME_RINVSERTYP),
+        ({"destination_addr": "999"}, Status.ESME_RINVDSTADR),
+        ({"destination_addr": "372991"}, Status.ESME_RINVDSTADR),  # a destination without a gateway
+        ({"validity_period": "soon"}, Status.ESME_RINVEXPIRY),
+        ({"schedule_delivery_time": "261231000000000R"}, Status.ESME_RINVSCHED),
+    ):
+        before, told = len(sender.answers), {"destination_addr": "372"} | fields
+        stage.loop.spawn(lambda told=told: sender.ask(Command.SUBMIT_SM, b"x", **told))
+        stage.until(lambda before=before: len(sender.answers) > before)
+        assert sender.answers[-1].status == status
+    for command, answer in ((Command.ENQUIRE_LINK, Command.ENQUIRE_LINK_RESP),
+                            (Command.OUTBIND, Command.GENERIC_NACK),
+                            (Command.BIND_RECEIVER, Command.BIND_RECEIVER_RESP),
+                            (Command.UNBIND, Command.UNBIND_RESP)):
+        before = len(sender.answers)
+        stage.loop.spawn(lambda command=command: sender.ask(command))
+        stage.until(lambda before=before: len(sender.answers) > before)
+        assert sender.answers[-1].command is answer
+    assert not stage.journal.entries
+
+
+def test_what_the_contractor_sent_is_carried_to_the_gateway(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage)
+    stage.open(gateway(gate.address))
+    contractor = stage.contractor()
+    stage.loop.spawn(lambda: contractor.ask(
+        Command.SUBMIT_SM, tlvs=[(0x0204, b"\1\2"), (p.MESSAGE_PAYLOAD, b"L" * 900)], data_coding=8,
+        service_type="RD", destination_addr="3721", source_addr="55", source_addr_ton=5))
+    stage.until(lambda: gate.submits)
+    got = gate.submits[0]
+    assert got.tlvs == [(0x0204, b"\1\2"), (p.MESSAGE_PAYLOAD, b"L" * 900)] and got.message == b""
+    assert (got.text("source_addr"), got.number("source_addr_ton"), got.number("data_coding")) == ("55", 5, 8)
+
+
+def test_a_link_that_does_not_answer_is_closed(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    sock, address = listener()
+    stage.open(gateway(address, enquire=50 * MS, response=50 * MS))
+    contractor = stage.contractor()
+    submit_all(stage, contractor, "PAY", 1)
+    stage.until(lambda: contractor.ends() or not stage.courier.open)
+    assert list(map(set, contractor.ends().values())) in ([], [{REJECTD}])  # it never ran
+    sock.close()
+
+
+def test_validity_periods() -> None:
+    wall = datetime(2026, 12, 1, 12, 0, 0, tzinfo=UTC)
+    assert validity("", wall) is None
+    assert validity("000000000130000R", wall) == 90 * SECOND
+    assert validity("261201120010000+", wall) == 10 * SECOND
+    assert validity("261201140010008+", wall) == 10 * SECOND  # two hours ahead of Greenwich
+    for text in ("261301000000000+", "abc", "2612011200100000"):
+        with pytest.raises(ValueError):
+            validity(text, wall)
+
+
+@FIXED
+@given(st.sampled_from([Command.SUBMIT_SM, Command.DELIVER_SM, Command.BIND_RECEIVER, Command.ENQUIRE_LINK]),
+       words, numbers, st.binary(max_size=254), st.integers(1, 50),
+       st.lists(st.tuples(st.integers(0, 0xFFFF), st.binary(max_size=40)), max_size=4))
+def test_pdus_come_back_from_any_cuts(command: Command, word: str, number: int, message: bytes,
+                                      step: int, tlvs: list[tuple[int, bytes]]) -> None:
+    fields: dict[str, object] = {"service_type": word, "esm_class": number, "system_id": word}
+    if command not in (Command.SUBMIT_SM, Command.DELIVER_SM):
+        message = b""
+    pdu = Pdu(command, number, 0, fields, message, tlvs)
+    data, come = p.encode(pdu) * 2, b""
+    found = []
+    for at in range(0, len(data), step):
+        come += data[at : at + step]
+        while size := p.whole(memoryview(come)):
+            found.append(p.decode(come[:size]))
+            come = come[size:]
+    assert len(found) == 2 and come == b"" and p.encode(found[0]) == data[: len(data) // 2]
+    assert found[0].tlvs == tlvs
+
+
+@FIXED
+@given(st.sampled_from([*Command, 0x99, 0x103]), st.binary(max_size=120))
+def test_garbage_in_a_body_is_a_bad_pdu_and_nothing_else(command: int, body: bytes) -> None:
+    data = struct.pack(">IIII", 16 + len(body), command, 0, 1) + body
+    try:
+        assert p.decode(data).sequence == 1
+    except p.BadPdu as error:
+        assert error.sequence == 1 and error.status
+
+
+@pytest.mark.parametrize("data", [b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\x05hello", bytes(40), b"\xff" * 64])
+def test_a_stream_of_something_else_is_answered_and_closed(tmp_path: Path, data: bytes) -> None:
+    stage = Stage(tmp_path, gateway(("127.0.0.1", 9)))
+    got: list[bytes] = []
+
+    def talk() -> None:
+        sock = connect(stage.loop, stage.address, stage.loop.now + SECOND)
+        assert sock is not None
+        sock.send(data)
+        while not got or got[-1]:
+            stage.loop.readable(sock, None)
+            try:
+                got.append(sock.recv(100))
+            except OSError:
+                got.append(b"")
+        sock.close()
+
+    stage.loop.spawn(talk)
+    stage.until(lambda: got and got[-1] == b"")
+    assert got[0][:12] == struct.pack(">III", 16, Command.GENERIC_NACK, Status.ESME_RINVCMDLEN)
+    stage.contractor()  # and others are still served
