--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -185,8 +185,8 @@
             "account": account.system_id, "payload": payload is not None, "submitted": int(time.time()),
         }
         deadline = self.loop.now + min(most, left if left is not None else most)
-        return Message(trace, cls, account.tenant, self.told.destinations[prefix], deadline, body, self, trace,
-                       extra)
+        return Message(trace, cls, account.tenant, self.told.destinations[prefix], deadline, body, self,
+                       trace, extra)
 
     def settle(self, message: Message, end: End) -> None:
         """Send the receipt, and again until it is acknowledged, on whichever session can take it."""
