--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,461 @@
+"""The platform front: parsers on cut and bad input, the sender side, next hops, the watch and notices."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import socket
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kestrelspar.buffers import BufferPool, Closed, Late, Stream
+from kestrelspar.courier import FAILED, Courier, End, Message, NextHop
+from kestrelspar.http import parser
+from kestrelspar.http.nexthop import NextHops, load_report, meaning, seconds
+from kestrelspar.http.notices import Notices
+from kestrelspar.http.sender import SenderServer, expires
+from kestrelspar.http.watch import Lines, Watch
+from kestrelspar.loop import MS, SECOND, connect
+from snowlock import interface as api
+from snowlock.interface import Outcome
+from tests.bench import CLOCK, READING, Scene, SkippingLoop, listener
+
+FIXED = settings(derandomize=True, deadline=None, max_examples=120)
+names = st.sampled_from(["X-Trace-Id", "Host", "x-qos", "A"])
+values = st.text(st.characters(min_codepoint=33, max_codepoint=126), max_size=20)
+
+
+Script = Callable[[parser.Head, bytes], bytes | None]
+
+
+class Peer:
+    """A server of our own: answers each whole request as the script says, with bytes or by silence."""
+
+    def __init__(self, scene: Scene, script: Script) -> None:
+        self.scene, self.script = scene, script
+        self.listener, self.address = listener()
+        self.connections = 0
+        self.seen: list[tuple[parser.Head, bytes]] = []
+        scene.loop.spawn(self.accept)
+
+    def accept(self) -> None:
+        while True:
+            self.scene.loop.readable(self.listener, None)
+            sock, _ = self.listener.accept()
+            sock.setblocking(False)
+            self.connections += 1
+            self.scene.loop.spawn(self.serve, Stream(self.scene.loop, sock, self.scene.buffers))
+
+    def serve(self, stream: Stream) -> None:
+        try:
+            while True:
+                head = parser.read_head(stream, None)
+                self.seen.append((head, parser.read_body(stream, head, None)))
+                answer = self.script(*self.seen[-1])
+                if answer:
+                    stream.write(answer, None)
+                if answer == b"":
+                    break
+                if answer is not None and not parser.head(memoryview(answer), response=True):
+                    break
+        except (Closed, Late):
+            pass
+        stream.close()
+
+
+class Stage(Scene):
+    """A courier behind its HTTP sender side, with one next hop played by ``peer``."""
+
+    def __init__(self, folder: Path, script: Script, discovery: Script | None = None,
+                 **more: object) -> None:
+        super().__init__(folder, **more)
+        self.peer = Peer(self, script)
+        self.platform = Peer(self, discovery or (lambda *_: parser.response(204)))
+        self.pool = NextHops(self.loop, self.buffers, self.courier.settings, 50)
+        self.notices = Notices(self.loop, self.buffers, self.platform.address)
+        self.courier.senders["http"] = self.notices
+        self.server = SenderServer(self.loop, self.buffers, self.courier, self.notices, 20)
+        listening, self.address = listener()
+        self.loop.spawn(self.server.accept, listening)
+        self.courier.map_current = self.courier.ready = True
+        self.courier.listed(self.pool, [self.hop()], whole=True)
+
+    def hop(self, state: api.EndpointState = api.EndpointState.READY) -> NextHop:
+        return NextHop(api.Endpoint(b"s-1", 7, 0, 0, state), self.peer.address, self.pool)
+
+    def talk(self, *data: bytes, until: Callable[[bytes], object] = lambda got: b"\r\n\r\n" in got) -> bytes:
+        """Send pieces as a client would; what came back."""
+        got: list[bytes] = []
+        over: list[int] = []
+
+        def client() -> None:
+            sock = connect(self.loop, self.address, self.loop.now + SECOND)
+            assert sock is not None
+            for part in data:
+                sock.send(part)
+                self.loop.sleep(1 * MS)
+            while not until(b"".join(got)):
+                self.loop.readable(sock, None)
+                try:
+                    got.append(sock.recv(65536))
+                except ConnectionResetError:
+                    break
+                if not got[-1]:
+                    break
+            sock.close()
+            over.append(1)
+
+        self.loop.spawn(client)
+        self.until(lambda: over)
+        return b"".join(got)
+
+    def notices_seen(self) -> list[dict[str, object]]:
+        lines = b"".join(body for _, body in self.platform.seen).splitlines()
+        return [json.loads(line) for line in lines]
+
+
+def hand_in(trace: str = "t1", cls: str = "reading", body: bytes = b"hello", **headers: str) -> bytes:
+    told = {"X-Trace-Id": trace, "X-Qos": cls, "X-Customer": "harju-vesi", "X-Expires-In": "9000m",
+            "X-Route-To": "dest=7"} | {name.replace("_", "-"): value for name, value in headers.items()}
+    return parser.request("POST", f"/{cls}", "app.svc", {k: v for k, v in told.items() if v}, body)
+
+
+def ok(*_: object) -> bytes:
+    return parser.response(200, b"fine")
+
+
+# Parsers
+
+@FIXED
+@given(st.lists(st.tuples(names, values), max_size=6), st.binary(max_size=300), st.integers(1, 40),
+       st.booleans())
+def test_requests_come_whole_from_any_cuts(headers: list[tuple[str, str]], body: bytes, step: int,
+                                           chunked: bool) -> None:
+    told = dict(headers)
+    whole = parser.request("POST", "/reading", "h", told, body)
+    if chunked:
+        told["Transfer-Encoding"] = "chunked"
+        parts = [body[i : i + 7] for i in range(0, len(body), 7)]
+        framed = b"".join(b"%x;e=1\r\n%s\r\n" % (len(part), part) for part in parts) + b"0\r\nT: 1\r\n\r\n"
+        whole = parser.request("GET", "/reading", "h", told) + framed
+    ours, theirs = socket.socketpair()
+    theirs.setblocking(False)
+    loop = SkippingLoop(CLOCK)
+    stream, found = Stream(loop, theirs, BufferPool(2)), []
+
+    def read() -> None:
+        for _ in range(2):
+            head = parser.read_head(stream, None)
+            found.append((head.headers, parser.read_body(stream, head, None)))
+
+    loop.spawn(read)
+    loop.turn()  # it waits for its first bytes
+    for at in range(0, 2 * len(whole), step):
+        ours.send((whole * 2)[at : at + step])
+        loop.turn()
+    assert len(found) == 2
+    for got, content in found:
+        assert content == body
+        assert all(got[name.lower()] for name, value in told.items() if value and name != "Host")
+    ours.close()
+    stream.close()
+
+
+@FIXED
+@given(st.binary(max_size=200), st.booleans())
+def test_garbage_is_a_bad_message_or_no_head_yet(data: bytes, response: bool) -> None:
+    for text in (data, data + b"\r\n\r\n", b"POST / HTTP/1.1\r\n" + data + b"\r\n\r\n",
+                 b"HTTP/1.1 200 OK\r\n" + data + b"\r\n\r\n"):
+        try:
+            head = parser.head(memoryview(text), response)
+            if head is not None:
+                parser.body_length(head)
+        except parser.BadMessage as error:
+            assert 400 <= error.status < 500
+    with contextlib.suppress(parser.BadMessage):
+        parser.Chunks().take(data)
+    Lines().take(data)
+    assert load_report(data.decode("latin-1"), ("x0", "x1")) == () or b"=" in data
+    assert seconds(data.decode("latin-1")) >= 0
+
+
+@pytest.mark.parametrize("text", [
+    b"GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+    b"GET / HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", b"GET / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+    b"GET / HTTP/2\r\n\r\n", b"GET /\r\n\r\n", b"GET / HTTP/1.1\r\nbad name: 1\r\n\r\n", b"A" * 9000,
+])
+def test_heads_that_two_readers_could_read_differently_are_refused(text: bytes) -> None:
+    with pytest.raises(parser.BadMessage):
+        head = parser.head(memoryview(text))
+        assert head is not None
+        parser.body_length(head)
+
+
+def test_values_of_headers() -> None:
+    assert expires("480m") == 480_000 and expires("1500u") == 1500 and expires("0.5m") == 500
+    for text in ("", "5", "5s", "-1m", "1e3m", "m"):
+        with pytest.raises(parser.BadMessage):
+            expires(text)
+    assert (seconds("0.4504"), seconds("2"), seconds("nan"), seconds("-1"), seconds("x")) == (
+        450_400, 2 * SECOND, 0, 0, 0)
+    assert load_report("TEXT x0=0.4, x1=25", ("x0", "x1")) == (0.4, 25.0)
+    assert load_report("TEXT x1=25", ("x0", "x1")) == (0.0, 25.0)
+
+
+@pytest.mark.parametrize(("status", "headers", "outcome", "wait", "closed"), [
+    (200, {}, Outcome.OK, 0, False), (500, {}, Outcome.ERROR, 0, False), (400, {}, Outcome.ERROR, 0, False),
+    (429, {"retry-after": "0.36"}, Outcome.FULL, 360_000, False), (503, {}, Outcome.FULL, 0, False),
+    (503, {"x-egress-full": "1"}, Outcome.MOOT, 0, False), (504, {}, Outcome.MOOT, 0, False),
+    (410, {}, Outcome.MOOT, 0, True),
+])
+def test_what_an_answer_means(status: int, headers: dict[str, str], outcome: Outcome, wait: int,
+                              closed: bool) -> None:
+    result = meaning(status, headers, ())
+    assert (result.outcome, result.told_wait, result.closed) == (outcome, wait, closed)
+    assert result.no_slot == ("x-egress-full" in headers)
+
+
+# The sender side
+
+@pytest.mark.parametrize(("request_", "status"), [
+    (b"nonsense\r\n\r\n", 400), (b"GET /" + b"x" * 9000, 431), (b"PUT /reading HTTP/1.1\r\n\r\n", 405),
+    (hand_in(cls="telegram"), 404), (hand_in(X_Customer="nobody"), 422), (hand_in(X_Route_To="dest=x"), 400),
+    (hand_in(X_Route_To="dest=99"), 422), (hand_in(X_Expires_In="soon"), 400), (hand_in(X_Trace_Id=""), 400),
+    (b"POST /reading HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 413),
+    (b"POST /reading HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+    (b"GET /health/ready HTTP/1.1\r\n\r\n", 200), (b"GET /nowhere HTTP/1.1\r\n\r\n", 404),
+])
+def test_bad_requests_get_a_status_and_nothing_is_kept(tmp_path: Path, request_: bytes, status: int) -> None:
+    stage = Stage(tmp_path, ok)
+    assert stage.talk(request_).startswith(b"HTTP/1.1 %d " % status)
+    assert not stage.journal.entries and not stage.peer.seen
+    assert stage.talk(hand_in()).startswith(b"HTTP/1.1 202 ")
+
+
+def test_every_request_on_a_connection_is_answered_in_turn(tmp_path: Path) -> None:
+    stage = Stage(tmp_path, ok)
+    data = b"".join(hand_in(f"t{i}") for i in range(5))
+    got = stage.talk(data[:100], data[100:101], data[101:], until=lambda text: text.count(b" 202 ") == 5)
+    assert got.count(b"\r\n\r\n") == 5
+    stage.until(lambda: len(stage.peer.seen) == 5 and not stage.journal.entries)
+    assert stage.platform.seen == []  # a delivered message needs no notice
+
+
+def test_what_is_taken_on_is_journalled_and_answered_before_its_first_attempt(tmp_path: Path) -> None:
+    stage = Stage(tmp_path, ok)
+    order: list[str] = []
+    taken, attempt, write = stage.journal.taken, stage.journal.attempt, Stream.write
+    stage.journal.taken = lambda *a: (order.append("journal"), taken(*a))[1]  # type: ignore[method-assign]
+    stage.journal.attempt = lambda *a: (order.append("attempt"), attempt(*a))[1]  # type: ignore[method-assign]
+
+    def spy(self: Stream, data: bytes, deadline: int | None) -> None:
+        order.append(data.split(b"\r\n")[0].decode("latin-1"))
+        write(self, data, deadline)
+
+    Stream.write = spy  # type: ignore[method-assign]
+    try:
+        stage.talk(hand_in())
+        stage.until(lambda: not stage.journal.entries)
+    finally:
+        Stream.write = write  # type: ignore[method-assign]
+    assert order[:4] == ["journal", "HTTP/1.1 202 Accepted", "attempt", "POST /v1/messages HTTP/1.1"]
+
+
+def test_a_client_that_closed_before_its_answer_is_not_taken_on(tmp_path: Path) -> None:
+    stage = Stage(tmp_path, ok)
+    sock = socket.create_connection(stage.address)
+    sock.sendall(hand_in())
+    sock.close()
+    stage.until(lambda: stage.server._count == 0 and stage.courier._last == 1)
+    assert not stage.journal.entries and not stage.courier.open and not stage.peer.seen
+
+
+def test_the_door_defers_what_would_be_too_many(tmp_path: Path) -> None:
+    stage = Stage(tmp_path, lambda *_: None, max_open=3)
+    got = [stage.talk(hand_in(f"t{i}", "payment")) for i in range(4)]
+    assert [text[9:12] for text in got] == [b"202", b"202", b"202", b"503"] and b"Retry-After: 1" in got[3]
+    assert len(stage.journal.entries) == 3
+
+
+# Next hops
+
+def reset_at_once(scene: Scene) -> tuple[str, int]:
+    sock, address = listener()
+
+    def serve() -> None:
+        while True:
+            scene.loop.readable(sock, None)
+            sock.accept()[0].close()
+
+    scene.loop.spawn(serve)
+    return address
+
+
+def attempt(stage: Stage, cls: int = READING, span: int = 200 * MS, leave: bool = True) -> Outcome:
+    got: list[Outcome] = []
+    message = Message("t", cls, 0, 7, stage.loop.now + SECOND, b"x" * 300, stage.ends, "key")
+    stage.loop.spawn(lambda: got.append(
+        stage.pool.attempt(message, stage.hop(), stage.loop.now + span, lambda: leave).outcome))
+    stage.until(lambda: got)
+    return got[0]
+
+
+def test_outcomes_of_connections(tmp_path: Path) -> None:
+    stage = Stage(tmp_path, ok)
+    assert attempt(stage) is Outcome.OK
+    assert attempt(stage, leave=False) is Outcome.MOOT and len(stage.peer.seen) == 1
+    assert attempt(stage) is Outcome.OK and stage.peer.connections == 1  # kept, also by the one barred
+    head = stage.peer.seen[-1][0].headers
+    assert (head["x-trace-id"], head["idempotency-key"], head["x-expires-in"]) == ("t", "key", "200m")
+    stage.peer.script = lambda *_: None
+    assert attempt(stage) is Outcome.TIMEOUT
+    stage.peer.script = lambda *_: b""
+    assert attempt(stage) is Outcome.RESET
+    stage.peer.script = lambda *_: b"HTTP/1.1 2"
+    assert attempt(stage) is Outcome.RESET
+    stage.peer.script = lambda *_: b"garbage\r\n\r\n"
+    assert attempt(stage) is Outcome.RESET
+    stage.peer.listener.close()
+    assert attempt(stage) is Outcome.CONNECT_FAILED
+
+
+def test_idle_connections_are_closed_in_time_and_dead_ones_not_used(tmp_path: Path) -> None:
+    stage = Stage(tmp_path, lambda *_: parser.response(200))
+    for span, connections in ((0, 1), (4_000 * MS, 1), (4_500 * MS, 2)):
+        at = stage.loop.now + span
+        stage.until(lambda at=at: stage.loop.now >= at)
+        assert attempt(stage) is Outcome.OK and stage.peer.connections == connections
+    stage.peer.script = lambda *_: parser.response(200, keep=False)  # told that it will be closed
+    assert attempt(stage) is Outcome.OK and attempt(stage) is Outcome.OK and stage.peer.connections == 3
+
+
+def test_a_draining_next_hop_gets_nothing_more_even_from_calls_already_decided(tmp_path: Path) -> None:
+    stage = Stage(tmp_path, ok)
+    real = stage.pool.attempt
+
+    def drained_meanwhile(*given: object) -> object:
+        stage.courier.listed(stage.pool, [stage.hop(api.EndpointState.DRAINING)], whole=False)
+        return real(*given)  # type: ignore[arg-type]
+
+    stage.pool.attempt = drained_meanwhile  # type: ignore[method-assign, assignment]
+    stage.talk(hand_in(X_Expires_In="900m"))
+    stage.until(lambda: not stage.journal.entries)
+    (notice,) = stage.notices_seen()
+    assert not stage.peer.seen and notice == {"id": "t1", "state": "returned", "after_ms": 2000}
+
+
+def test_a_told_wait_bars_calls_already_decided(tmp_path: Path) -> None:
+    stage = Stage(tmp_path, lambda *_: parser.response(429, headers={"Retry-After": "0.5"}))
+    stage.talk(hand_in("a", X_Expires_In="400m"))
+    stage.until(lambda: stage.peer.seen)
+    stage.until(lambda: not stage.courier.out)
+    now = stage.loop.now * 1000
+    assert not stage.courier._controller.may_still_go(now + 300 * MS * 1000, b"s-1")
+    assert stage.courier._controller.may_still_go(now + 600 * MS * 1000, b"s-1")
+
+
+# Notices, the watch, the end
+
+def test_notices_are_repeated_until_heard_and_a_bad_one_holds_back_none(tmp_path: Path) -> None:
+    answers = [parser.response(503), b"", parser.response(400), parser.response(400)]
+    stage = Stage(tmp_path, ok, lambda *_: answers.pop(0) if answers else parser.response(204))
+    for name in ("a", "b", "c"):
+        message = Message(name, READING, 0, 7, 0, b"", stage.notices)
+        stage.loop.spawn(stage.notices.settle, message, End(FAILED))
+    stage.until(lambda: not answers and not stage.notices._busy)
+    assert [line["id"] for line in stage.notices_seen()[-2:]] == ["b", "c"]
+
+
+def watch_on(courier: Courier, stage: Stage) -> Watch:
+    return Watch(stage.loop, stage.buffers, courier, stage.pool, stage.platform.address)
+
+
+ROW = {"name": "s-9", "address": "127.0.0.1:9", "zone": "room-b", "type": "contractor", "group": 3,
+       "status": "active", "weight": 1.0, "since_ms": 0}
+
+
+def test_the_transport_map_follows_changes_and_passes_over_bad_entries(tmp_path: Path) -> None:
+    stage = Stage(tmp_path, ok)
+    watch = watch_on(stage.courier, stage)
+    watch._line(json.dumps({"index": 5, "snapshot": True, "endpoints": [
+        ROW, {**ROW, "name": "bad", "zone": "nowhere"}, {"name": "bare"}, 7]}).encode())
+    assert list(stage.courier.hops) == [b"s-9"] and watch.index == 5  # s-1 was missing from a whole list
+    assert stage.courier.hops[b"s-9"].endpoint == api.Endpoint(b"s-9", 3, 1, 1)
+    for line in (b"{", b"[]", b"{}", b"", b'{"endpoints": 3}', b"\xff"):
+        watch._line(line)
+    gone = {"index": 6, "snapshot": False, "endpoints": [{**ROW, "status": "left"}]}
+    watch._line(json.dumps(gone).encode())
+    assert not stage.courier.hops and watch.index == 6
+
+
+def test_a_watch_that_ends_is_taken_up_where_it_was(tmp_path: Path) -> None:
+    def discovery(head: parser.Head, _: bytes) -> bytes:
+        line = json.dumps({"index": 8, "snapshot": False, "endpoints": [ROW]}).encode() + b"\n"
+        if "after=8" in head.first[1]:
+            return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n0\r\n\r\n"
+        start = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        return start + b"%x\r\n%s\r\n0\r\n\r\n" % (len(line), line)
+
+    stage = Stage(tmp_path, ok, discovery)
+    stage.loop.spawn(watch_on(stage.courier, stage).run)
+    stage.until(lambda: len(stage.platform.seen) >= 3)
+    assert [h.first[1].rpartition("=")[2] for h, _ in stage.platform.seen[:3]] == ["0", "8", "8"]
+    assert b"s-9" in stage.courier.hops
+
+
+def test_closing_takes_nothing_on_finishes_what_is_out_and_leaves_the_rest(tmp_path: Path) -> None:
+    stage = Stage(tmp_path, lambda *_: None)
+    stage.talk(hand_in("held", "payment"))
+    stage.until(lambda: stage.courier.out)
+    start = stage.loop.now
+    stage.courier.close()
+    assert b"503" in stage.talk(b"GET /health/ready HTTP/1.1\r\n\r\n")
+    late = stage.talk(hand_in("late"))
+    assert late.startswith(b"HTTP/1.1 503 ") and b"Retry-After: 1" in late
+    stage.until(lambda: stage.loop._stopped)
+    assert stage.loop.now - start < 3_700 * MS and list(stage.journal.entries) == [1]
+
+
+@pytest.mark.parametrize(("cls", "sent", "state"), [
+    ("payment", True, "failed"), ("payment", False, None), ("work-order", True, None),
+    ("reading", True, None)])
+def test_a_restart_owes_each_message_its_end(tmp_path: Path, cls: str, sent: bool, state: str | None) -> None:
+    old = Stage(tmp_path, lambda *_: None)
+    if not sent:
+        old.courier.listed(old.pool, [], whole=True)
+    old.talk(hand_in("held", cls))
+    old.until(lambda: old.courier.out if sent else old.courier.open)
+    new = Stage(tmp_path, ok)
+    new.courier.resume()
+    new.until(lambda: not new.journal.entries)
+    assert new.notices_seen() == ([{"id": "held", "state": state}] if state else [])
+    assert len(new.peer.seen) == (0 if state else 1)
+
+
+def test_a_work_order_does_not_go_again_after_its_window(tmp_path: Path) -> None:
+    old = Stage(tmp_path, lambda *_: None)
+    old.talk(hand_in("held", "work-order", X_Expires_In="20000m"))
+    old.until(lambda: old.courier.out)
+    new = Stage(tmp_path, ok)
+    later = new.loop.now + 7_500 * MS
+    new.until(lambda: new.loop.now >= later)
+    new.courier.resume()
+    new.until(lambda: not new.journal.entries)
+    assert not new.peer.seen and [n["state"] for n in new.notices_seen()] == ["returned"]
+
+
+def test_an_end_decided_before_a_restart_is_told_after_it(tmp_path: Path) -> None:
+    old = Stage(tmp_path, ok, lambda *_: parser.response(503))
+    old.courier.listed(old.pool, [], whole=True)
+    old.talk(hand_in("held", "payment", X_Expires_In="100m"))
+    old.until(lambda: old.platform.seen)
+    new = Stage(tmp_path, ok)
+    new.courier.resume()
+    new.until(lambda: not new.journal.entries)
+    assert [(n["id"], n["state"]) for n in new.notices_seen()] == [("held", "returned")]
+    assert not new.peer.seen
--- /dev/null
+++ b/tests/test_past.py
@@ -0,0 +1,67 @@
+"""A message that was held before a restart comes to the module with its past."""
+
+from __future__ import annotations
+
+from snowlock.interface import Arrival, EndpointState, Fail, Outcome, Refuse, Safety
+from tests.forwarder import MS, SECOND, Forwarder, message_class, route, settings
+
+
+def held(cls: Safety, attempts: int = 1, maybe: int | None = None, left: int = 9 * SECOND,
+         window: int = 5 * SECOND) -> Forwarder:
+    forwarder = Forwarder(settings(message_class(cls, window_ns=window), max_attempts=3))
+    forwarder.endpoints("a", "b")
+    since = None if maybe is None else forwarder.now - maybe
+    forwarder.attempts[1] = attempts
+    forwarder.feed(Arrival(1, 0, 1, left, 0, 0, attempts, since))
+    return forwarder
+
+
+def test_an_unsafe_message_that_may_have_run_is_failed_at_once_and_never_sent() -> None:
+    forwarder = held(Safety.UNSAFE, 1, 100 * MS)
+    assert isinstance(forwarder.ended[1][1], Fail) and not forwarder.sends
+
+
+def test_what_never_ran_goes_again_whatever_its_class() -> None:
+    for cls in Safety:
+        assert len(held(cls, 2).sends) == 1
+
+
+def test_a_keyed_message_goes_again_only_inside_the_window_of_its_first_send() -> None:
+    assert len(held(Safety.KEYED, 1, 4 * SECOND).sends) == 1
+    late = held(Safety.KEYED, 1, 5 * SECOND)
+    assert not late.sends and isinstance(late.ended[1][1], Refuse)
+    slow = held(Safety.KEYED, 1, 4 * SECOND)
+    slow.wait(2 * SECOND)  # the window ends while its call is out
+    slow.outcome(1, Outcome.ERROR)
+    slow.wait(8 * SECOND)
+    assert len(slow.sends) == 1 and 1 in slow.ended
+
+
+def test_attempts_are_counted_on_and_a_message_out_of_time_is_ended_at_once() -> None:
+    spent = held(Safety.SAFE, 3)
+    assert not spent.sends and 1 in spent.ended
+    last = held(Safety.SAFE, 2)
+    last.outcome(1, Outcome.ERROR)
+    assert 1 in last.ended and len(last.sends) == 1
+    gone = held(Safety.SAFE, 0, left=0)
+    assert not gone.sends and 1 in gone.ended
+
+
+def test_a_refusal_tells_when_to_come_back() -> None:
+    forwarder = Forwarder(settings(message_class(Safety.SAFE), max_retry_after_ns=2 * SECOND))
+    forwarder.arrive(1)
+    forwarder.wait(10 * SECOND)
+    answer = forwarder.ended[1][1]
+    assert isinstance(answer, Refuse) and 0 < answer.retry_after_ns <= 2 * SECOND
+
+
+def test_a_call_decided_before_a_drain_or_a_told_wait_may_not_leave_after_it() -> None:
+    forwarder = Forwarder()
+    forwarder.endpoints("a")
+    may = forwarder.controller.may_still_go
+    assert may(forwarder.now, route("a")) and not may(forwarder.now, route("x"))
+    forwarder.arrive(1)
+    forwarder.outcome(1, Outcome.FULL, wait_ns=300 * MS)
+    assert not may(forwarder.now + 299 * MS, route("a")) and may(forwarder.now + 301 * MS, route("a"))
+    forwarder.endpoints("a", state=EndpointState.DRAINING)
+    assert not may(forwarder.now + SECOND, route("a"))
