Add plug-ins and the nginx importer; two tests that a broken front could have passed

Plug-ins (kestrelspar/plugins.py): own expressions over whitelisted ast nodes with a budget of steps, off by default. Importer (python -m kestrelspar.nginx): weight, down, backup, max_fails, tries, time-outs and targets; the rest is named.

--- a/kestrelspar/__main__.py
+++ b/kestrelspar/__main__.py
@@ -18,10 +18,11 @@
 from kestrelspar.http.watch import Watch
 from kestrelspar.journal import Journal
 from kestrelspar.loop import Loop, listen, log
+from kestrelspar.plugins import Plugins
 from kestrelspar.smpp.client import Gateways
 from kestrelspar.smpp.server import SmppServer
 
-SMPP_FILE = Path(__file__).parent.parent / "deploy" / "smpp.json"
+DEPLOY = f"{Path(__file__).parent.parent}/deploy/"
 
 
 def _on_signals(loop: Loop, courier: Courier) -> None:
@@ -49,25 +50,27 @@
 
 def main() -> int:
     """Serve; exit code 0 after SIGTERM, 2 for a configuration that will not do."""
+    environment = os.environ
     try:
-        told = config.read(os.environ)
-        smpp = config.read_smpp(os.environ.get("KESTRELSPAR_SMPP", str(SMPP_FILE)), told.settings)
+        told = config.read(environment)
+        smpp = config.read_smpp(environment.get("KESTRELSPAR_SMPP", DEPLOY + "smpp.json"), told.settings)
+        rules = config.read_plugins(environment.get("KESTRELSPAR_PLUGINS", DEPLOY + "plugins.json"))
+        loop, buffers = Loop(), BufferPool()
+        own = NextHops(loop, buffers, told.settings, told.sockets // 8)  # to next hops of the operators' own
+        own_hops = []
+        if "KESTRELSPAR_MAP" in environment:
+            own_hops = config.read_map(environment["KESTRELSPAR_MAP"], told.settings, own)
     except ValueError as error:
         log(f"configuration: {error}")
         return 2
-    loop, buffers = Loop(), BufferPool()
-    journal = Journal(told.state, told.disk_bytes)
-    courier = Courier(loop, told.settings, told.seed, journal)
-    spare = max(32, told.sockets // 8)  # for discovery, notices, listeners, signals and files
+    courier = Courier(loop, told.settings, told.seed, Journal(told.state, told.disk_bytes))
     carrier = NextHops(loop, buffers, told.settings, told.sockets // 4)
     notices = Notices(loop, buffers, told.discovery)
     courier.senders[notices.name] = notices
+    # Descriptors: idle connections to next hops, calls out, and for discovery, notices, listeners and files.
+    kept = told.sockets // 4 + told.sockets // 8 + told.settings.slots + max(32, told.sockets // 16)
     if smpp is not None:
-        spare += smpp.most_sessions + len(smpp.gateways) + 1
-    most = max(16, told.sockets - told.sockets // 4 - told.settings.slots - spare)
-    server = SenderServer(loop, buffers, courier, notices, most)
-    watch = Watch(loop, buffers, courier, carrier, told.discovery)
-    if smpp is not None:
+        kept += smpp.most_sessions + len(smpp.gateways) + 1
         gateways = Gateways(loop, buffers, told.settings, smpp.gateways)
         contractors = SmppServer(loop, buffers, courier, smpp)
         courier.senders[contractors.name] = contractors
@@ -75,6 +78,13 @@
         courier.listed(gateways, gateways.hops(), whole=True)
         loop.spawn(contractors.accept, listen(smpp.listen))
         log(f"smpp serves on {smpp.listen[0]}:{smpp.listen[1]}, {len(smpp.gateways)} gateways")
+    if rules:
+        courier.hooks.append(Plugins(loop, told.settings, rules))
+        log(f"plug-ins: {len(rules)} rules")
+    if own_hops:
+        courier.listed(own, own_hops, whole=True)
+    server = SenderServer(loop, buffers, courier, notices, max(16, told.sockets - kept))
+    watch = Watch(loop, buffers, courier, carrier, told.discovery)
     _on_signals(loop, courier)
     listener = listen(told.listen)
     if told.known:
--- a/kestrelspar/config.py
+++ b/kestrelspar/config.py
@@ -11,11 +11,12 @@
 
 import ujson
 
+from kestrelspar import plugins
+from kestrelspar.courier import Carrier, NextHop
 from kestrelspar.loop import MS, SECOND
 from snowlock import interface as api
 from snowlock import settings
-
-Section, SettingsError = settings.Section, settings.SettingsError
+from snowlock.settings import Section, SettingsError
 
 
 def address(text: Any) -> tuple[str, int]:
@@ -34,6 +35,10 @@
     raise ValueError(f"unknown {what} {name!r:.40}")
 
 
+STATES = {"active": api.EndpointState.READY, "leaving": api.EndpointState.DRAINING,
+          "left": api.EndpointState.GONE}
+
+
 @dataclass(frozen=True, slots=True)
 class Account:
     """A contractor that may bind."""
@@ -163,6 +168,49 @@
     return str(value)
 
 
+def read_map(path: str, told: api.Settings, carrier: Carrier) -> list[NextHop]:
+    """A transport map of the operators' own, as ``kestrelspar.nginx`` writes it."""
+    top = Section(_object_or_error(read_json(path)), "map")
+    groups = {d.get("group", int): d for d in top.sections("destinations")}
+    apart = [kind for kind, is_apart in enumerate(told.routes_apart) if is_apart]
+    hops = []
+    for e in top.sections("endpoints", optional=False):
+        d = groups.get(e.get("group", int), Section({}, "map.destinations"))
+        tries, read, come_up, within = (
+            int(d.get(key, _positive, 0))
+            for key in ("tries", "read_timeout_ms", "connect_timeout_ms", "within_ms")
+        )
+        endpoint = api.Endpoint(
+            e.get("name", str).encode(), e.get("group", int),
+            e.get("zone", lambda value: place(value, told.zones, "zone"), 0),
+            e.get("type", lambda value: place(value, told.kinds, "type"), apart[0] if apart else 0),
+            e.get("status", STATES.__getitem__), e.get("weight", _positive, 1.0),
+            int(e.get("backup", _truth, False)), tries, read * MS * 1000,
+            int(e.get("max_fails", _positive, 0)),
+        )
+        target = d.get("target", str, "/v1/messages")
+        hops.append(NextHop(endpoint, e.get("address", address), carrier, target, come_up * MS or 1 << 62,
+                            within * MS or 1 << 62))
+    return hops
+
+
+def read_plugins(path: str) -> list[plugins.Rule]:
+    """The rules of the scripts that a file names, relative to it; none where it is absent or says off."""
+    if not os.path.exists(path):
+        return []
+    top = Section(_object_or_error(read_json(path)), "plugins")
+    scripts = top.get("scripts", _strings, [])
+    if not top.get("enabled", _truth, False):
+        return []
+    return [rule for name in scripts for rule in plugins.read(Path(path).parent / name)]
+
+
+def _strings(value: Any) -> list[str]:
+    if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
+        raise ValueError
+    return value
+
+
 def read_smpp(path: str, told: api.Settings) -> Smpp | None:
     """The SMPP front's file; nothing where it is absent or says that the front is off."""
     if not os.path.exists(path):
--- a/kestrelspar/courier.py
+++ b/kestrelspar/courier.py
@@ -121,6 +121,9 @@
     endpoint: api.Endpoint
     address: tuple[str, int]
     carrier: Carrier
+    target: str = "/v1/messages"  # where an HTTP call goes
+    connect_within: int = 1 << 62  # bound on the time for a connection
+    within: int = 1 << 62  # bound on the time for a message, from its hand-in
 
     @property
     def name(self) -> str:
@@ -170,6 +173,8 @@
         if refusal is not None:
             answer(refusal)
             return
+        bounds = [hop.within for hop in self.hops.values() if hop.endpoint.destination == message.dest]
+        message.deadline = min(message.deadline, self.loop.now + min(bounds, default=1 << 62))
         self._last += 1
         message.number = self._last
         text = ujson.dumps(self._text(message))
--- a/kestrelspar/http/nexthop.py
+++ b/kestrelspar/http/nexthop.py
@@ -75,7 +75,8 @@
         """One delivery attempt, from connection to outcome."""
         stream = self._reuse(hop)
         if stream is None:
-            came_up = min(deadline, self.loop.now + self.settings.connect_timeout_ns // 1000)
+            span = min(self.settings.connect_timeout_ns // 1000, hop.connect_within)
+            came_up = min(deadline, self.loop.now + span)
             sock = connect(self.loop, hop.address, came_up)
             if sock is None:
                 return Result(Outcome.CONNECT_FAILED)
@@ -88,7 +89,7 @@
         if message.key:
             headers["Idempotency-Key"] = message.key
         headers["X-Expires-In"] = f"{max(1, (deadline - self.loop.now) // MS)}m"
-        call = parser.request("POST", "/v1/messages", "app.svc", headers, message.body)
+        call = parser.request("POST", hop.target, "app.svc", headers, message.body)
         try:
             stream.write(call, deadline)
         except (Closed, Late):  # before its last byte: it never ran
--- a/kestrelspar/http/watch.py
+++ b/kestrelspar/http/watch.py
@@ -7,7 +7,7 @@
 import ujson
 
 from kestrelspar.buffers import BufferPool, Closed, Late, Stream
-from kestrelspar.config import address, place
+from kestrelspar.config import STATES, address, place
 from kestrelspar.courier import Carrier, Courier, NextHop
 from kestrelspar.http import parser
 from kestrelspar.loop import MS, SECOND, Loop, connect, log
@@ -16,8 +16,6 @@
 SILENCE = 5 * SECOND  # an empty line comes every 2 s: after this the connection is given up
 WAIT_FIRST, WAIT_MOST = 50 * MS, 2 * SECOND
 MOST_LINE = 4 * 1024 * 1024
-STATES = {"active": api.EndpointState.READY, "leaving": api.EndpointState.DRAINING,
-          "left": api.EndpointState.GONE}
 
 
 def entry(raw: Any, settings: api.Settings, carrier: Carrier) -> NextHop:
--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -101,7 +101,8 @@
     def __init__(self, entry: api.Endpoint, dest: Destination, draw: float):
         self.id, self.dest, self.zone = entry.id, dest, entry.zone
         self.draw = draw  # its place among routes that cost the same, to be weighed by their rates
-        self.rate, self.ready = entry.rate, True
+        self.rate, self.ready, self.rank = entry.rate, True, entry.rank
+        self.patience = self.fails = NEVER  # bounds set by the operators, if any
         self.limit = Limit() if dest.apart else dest.limit
         self.inflight = self.wait_until = self.bad = self.oks = 0
         self.last_send = self.sent_before = self.last_ok = -NEVER
@@ -124,7 +125,7 @@
         self.kind = self.inflight = 0
         self.bad = 0  # failures in a row at all its routes
         self.sick_at = -NEVER  # last failure or refusal as shut, with nothing served since
-        self.wake = NEVER
+        self.wake = self.tries = NEVER
         self.wait_until = 0  # told wait, where routes share a limit: holds for routes yet to be listed too
         self.apart, self.limit, self.mean = False, Limit(), 0.0
 
@@ -251,7 +252,9 @@
                 known = self.routes[entry.id] = Route(entry, dest, self.random.expovariate(1.0))
                 fresh.append(known)
             known.rate = min(max(0.1, entry.rate), 1e6)  # absent, absurd or not a number: little is sent
-            known.ready, known.zone = True, entry.zone
+            known.ready, known.zone, known.rank = True, entry.zone, entry.rank
+            known.patience, known.fails = entry.patience_ns or NEVER, entry.fails or NEVER
+            dest.tries = min(entry.tries or self.s.max_attempts, self.s.max_attempts)
             if known not in dest.routes:
                 dest.routes.append(known)
             dest.routes.sort(key=self._order)
@@ -270,7 +273,7 @@
         if route in route.dest.routes:
             route.dest.routes.remove(route)
 
-    def _order(self, route: Route) -> tuple[float, float]:
+    def _order(self, route: Route) -> tuple[int, float, float]:
         """The fixed order: the cheaper first, and among routes that cost the same one drawn by their rates.
 
         Many forwarders that all called the same route first would have most calls refused there.
@@ -278,7 +281,7 @@
         tolls = self.s.tolls if route.dest.apart else ()
         toll = tolls[route.zone] if route.zone < len(tolls) else 0.0
         toll += self.s.cross_zone_fee if route.zone != self.s.zone else 0.0
-        return (toll, route.draw / route.rate)
+        return (route.rank, toll, route.draw / route.rate)
 
     def _arrived(self, event: api.Arrival) -> Destination:
         """Accept a message."""
@@ -302,7 +305,7 @@
             else:
                 self.tenant_due[event.tenant] = due
         ran = message.maybe and message.cls.safety is Safety.UNSAFE
-        if ran or message.attempts >= self.s.max_attempts or message.late <= self.now:
+        if ran or message.attempts >= self._most(message) or message.late <= self.now:
             self._give_up(message)
             return dest
         dest.queue.append(message)
@@ -366,7 +369,7 @@
     def _may_go(self, message: Message, route: Route) -> bool:
         """May this message go to this route as far as the message itself is concerned?"""
         cls = message.cls
-        if message.done or not route.ready or message.attempts >= self.s.max_attempts or message.out:
+        if message.done or not route.ready or message.attempts >= self._most(message) or message.out:
             return False
         bound = cls.safety is Safety.KEYED and cls.zone_bound and route.zone != message.zone
         unsafe = cls.safety is Safety.UNSAFE
@@ -374,6 +377,10 @@
             return False
         return self._turn_at(message) <= self.now
 
+    def _most(self, message: Message) -> int:
+        """The most attempts that a message may have."""
+        return min(self.s.max_attempts, message.dest.tries)
+
     def _turn_at(self, message: Message) -> int:
         """When the message has its key's turn; NEVER while an earlier one is unfinished."""
         if not (message.cls.ordered and message.key):
@@ -577,7 +584,7 @@
             wanted = max(factor * usual * 2 ** (min(message.waits, 6) * (1 - loss / 2)), cls.aim_ns / 2)
             if cls.safety is Safety.KEYED:
                 wanted = max(wanted, floor + usual)
-        return min(left, int(wanted))
+        return min(left, int(wanted), route.patience)
 
     def _ended(self, event: api.AttemptEnded) -> Destination | None:
         """An attempt has its outcome: learn from it, then decide what its message does next."""
@@ -627,7 +634,7 @@
     def _next(self, message: Message, route: Route, outcome: Outcome) -> None:
         """What an undelivered message does after an attempt: wait and try again, move on, or end."""
         cls = message.cls
-        if message.attempts >= self.s.max_attempts or (message.maybe and cls.safety is Safety.UNSAFE):
+        if message.attempts >= self._most(message) or (message.maybe and cls.safety is Safety.UNSAFE):
             self._give_up(message)
             return
         message.tries += 1
@@ -734,7 +741,8 @@
         shared = route.dest.bad > route.bad and (seldom or not route.dest.apart)
         usual = self.failing[lost] if lost else min(self.failing[lost], FAILING_MOST)
         chance = usual ** (route.dest.bad if shared else route.bad)
-        if chance < CHANCE if seldom else route.bad >= 3 and chance < CHANCE / 5:
+        doubtful = chance < CHANCE if seldom else route.bad >= 3 and chance < CHANCE / 5
+        if doubtful or route.bad >= route.fails:
             for kin in route.dest.routes if shared else [route]:
                 if kin.bad:
                     self._mark_down(kin, outcome.name.lower())
--- a/snowlock/interface.py
+++ b/snowlock/interface.py
@@ -149,6 +149,10 @@
     kind: int = 0
     state: EndpointState = EndpointState.READY
     rate: float = 1.0
+    rank: int = 0  # routes of a higher rank come after all of a lower one
+    tries: int = 0  # bound on a message's attempts at the destination; 0 here and below: none
+    patience_ns: int = 0  # bound on an attempt's time-out
+    fails: int = 0  # failures in a row that make an outage
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/test_extras.py
@@ -0,0 +1,229 @@
+"""Configuration, plug-ins and the nginx importer."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kestrelspar import config, nginx, plugins
+from kestrelspar.courier import DELIVERED, FAILED, End, Message
+from kestrelspar.loop import MS, SECOND
+from snowlock import interface as api
+from tests.bench import PAYMENT, READING, Scene
+from tests.bench import settings as told_settings
+from tests.forwarder import Forwarder, message_class, route
+from tests.forwarder import settings as module_settings
+from tests.test_wire import SETTINGS
+
+ROOT = Path(__file__).parent.parent
+FIXED = settings(derandomize=True, deadline=None, max_examples=150)
+
+
+# Configuration
+
+def written(folder: Path, change: dict[str, Any] | None = None) -> dict[str, str]:
+    raw: dict[str, Any] = {
+        "name": "n3", "listen": "127.0.0.1:8443", "discovery": "127.0.0.1:8500", "seed": "8c1f",
+        "state": str(folder),
+        "limits": {"cores": 1.0, "sockets": 512, "disk_mb": 3}, "settings": SETTINGS,
+    }
+    (folder / "config.json").write_text(json.dumps(raw | (change or {})))
+    return {"RELAY_CONFIG": str(folder / "config.json")}
+
+
+def test_configuration_is_read_with_defaults_and_variables(tmp_path: Path) -> None:
+    told = config.read(written(tmp_path) | {"RELAY_NAME": "n9"})
+    assert (told.name, told.listen, told.seed, told.sockets) == ("n9", ("127.0.0.1", 8443), 0x8C1F, 512)
+    assert told.disk_bytes == 3_000_000 and told.settings.classes[0].safety is api.Safety.UNSAFE
+    assert config.read(written(tmp_path, {"limits": {}})).sockets == 1024
+
+
+@pytest.mark.parametrize(("change", "key"), [
+    ({"listen": "nowhere"}, "config.listen"), ({"listen": "127.0.0.1:99999"}, "config.listen"),
+    ({"state": "/no/such/folder"}, "config.state"), ({"limits": {"disk_mb": -1}}, "config.limits.disk_mb"),
+    ({"settings": 5}, "config.settings"), ({"settings": {}}, "settings.family_info"),
+    ({"settings": SETTINGS | {"limits": {"max_attempts": "x"}}}, "settings.limits.max_attempts"),
+    ({"settings": SETTINGS | {"classes": [{"objective_ns": 1}]}}, "settings.classes[0].deadline_ns"),
+    ({"known": []}, "config.known"),
+])
+def test_errors_of_configuration_name_the_key(tmp_path: Path, change: dict[str, Any], key: str) -> None:
+    with pytest.raises(ValueError, match=r"^" + key.replace("[", r"\[").replace("]", r"\]") + ":"):
+        config.read(written(tmp_path, change))
+
+
+def test_the_deployed_files_leave_both_extras_off_and_can_be_switched_on(tmp_path: Path) -> None:
+    assert config.read_smpp(str(ROOT / "deploy" / "smpp.json"), told_settings()) is None
+    assert config.read_plugins(str(ROOT / "deploy" / "plugins.json")) == []
+    raw = json.loads((ROOT / "deploy" / "smpp.json").read_text()) | {"enabled": True}
+    raw["accounts"] = [{"system_id": "acme", "password": "secret", "class": "work-order"}]
+    raw["gateways"] = [{"name": "g", "address": "127.0.0.1:2776", "dest": 5, "system_id": "a",
+                        "password": "b"}]
+    (tmp_path / "smpp.json").write_text(json.dumps(raw))
+    smpp = config.read_smpp(str(tmp_path / "smpp.json"), told_settings())
+    assert smpp is not None and smpp.accounts[0].cls == 1 and smpp.gateways[0].throttle_wait == SECOND
+    for key, value, name in (("accounts", [{"system_id": "acme", "password": "x", "class": "no"}], "class"),
+                             ("gateways", [raw["gateways"][0] | {"bind": "receiver"}], r"gateways\[0\].bind"),
+                             ("enabled", "yes", "smpp.enabled")):
+        (tmp_path / "smpp.json").write_text(json.dumps(raw | {key: value}))
+        with pytest.raises(ValueError, match=name):
+            config.read_smpp(str(tmp_path / "smpp.json"), told_settings())
+    (tmp_path / "plugins.json").write_text('{"enabled": true, "scripts": ["x.rules"]}')
+    (tmp_path / "x.rules").write_text((ROOT / "deploy" / "example.rules").read_text())
+    assert len(config.read_plugins(str(tmp_path / "plugins.json"))) == 3
+
+
+# Plug-ins
+
+def rules(folder: Path, text: str) -> list[plugins.Rule]:
+    (folder / "s.rules").write_text(text)
+    return plugins.read(folder / "s.rules")
+
+
+def scripted(folder: Path, text: str) -> tuple[Scene, plugins.Plugins, Message]:
+    scene = Scene(folder)
+    message = Message("t1", READING, 0, 7, scene.loop.now + SECOND, b"urgent: 5", scene.ends, "k")
+    return scene, plugins.Plugins(scene.loop, scene.courier.settings, rules(folder, text)), message
+
+
+def test_rules_change_defer_and_reject(tmp_path: Path) -> None:
+    _, hook, message = scripted(tmp_path, '''
+        # two colons in the condition
+        on arrival when starts(lower(body), "urgent:") and tenant in ("harju-vesi", "x"): set class "payment"
+        on arrival when cls == "payment" and 0 < size < 10: set dest dest + 1
+        on arrival when dest == 8 and not (key == "k"): reject "never"
+        on arrival when dest == 8: defer 500 if left_ms > 100 else 9
+        on arrival when 1: reject "too late to be asked"
+    ''')
+    answer = hook.arrival(message)
+    assert (message.cls, message.dest) == (PAYMENT, 8)
+    assert answer is not None and answer.defer and answer.come_back == 500 * MS
+    message.key, message.dest = "other", 7
+    assert (answer := hook.arrival(message)) is not None and not answer.defer and "never" in answer.reason
+
+
+def test_a_rule_that_fails_is_logged_and_passed_over(tmp_path: Path,
+                                                     capsys: pytest.CaptureFixture[str]) -> None:
+    _, hook, message = scripted(tmp_path, '''on arrival when size + body == 1: reject "a"
+on arrival when 1 // 0: reject "b"
+on arrival when 1: set class "telegram"
+on arrival when 1: set dest "x"
+on arrival when 1: defer -5
+on arrival when number(body): reject "c"
+on end when state == "failed": log "lost " + trace + " " + text(after_ms)
+on end when len(5): log "d"
+on arrival when ''' + " + ".join(["1"] * 150) + ''': reject "too many steps"''')
+    assert hook.arrival(message) is None and (message.cls, message.dest) == (READING, 7)
+    hook.end(message, End(FAILED))
+    hook.end(message, End(DELIVERED))
+    lines = capsys.readouterr().out.splitlines()
+    assert sum("passed over" in line for line in lines) == 9
+    assert [line for line in lines if "lost t1 0" in line and "s.rules:7" in line]
+
+
+@pytest.mark.parametrize("line", [
+    "on arrival when 1", "when 1: defer 1", "on arrival when 1: explode 1", "on end when 1: defer 1",
+    'on arrival when state == "x": defer 1', "on arrival when open('x'): defer 1", "on arrival when 1: defer",
+    "on arrival when ().__class__: defer 1", "on arrival when [x for x in body]: defer 1",
+    "on arrival when body[0]: defer 1", "on arrival when 2 ** 9: defer 1",
+    "on arrival when (lambda: 1)(): defer 1",
+    "on arrival when f'{body}': defer 1", "on arrival when size is 1: defer 1",
+    "on arrival when len(body, 1): defer 1",
+])
+def test_a_faulty_script_is_refused_with_file_and_line(tmp_path: Path, line: str) -> None:
+    with pytest.raises(plugins.ScriptError, match=r"s\.rules:2: "):
+        rules(tmp_path, "# fine\n" + line)
+
+
+@FIXED
+@given(st.text(st.sampled_from("abcdesiz()+-*'\":,.<>= 019\n"), max_size=60))
+def test_garbage_is_refused_or_worked_out(text: str) -> None:
+    try:
+        rule = plugins.Rule(f"on arrival when {text}: defer {text}", "x:1")
+        rule.condition.work_out(dict.fromkeys(plugins.ARRIVAL, 1))
+    except (plugins.ScriptError, plugins.Failed):
+        pass
+
+
+def test_the_core_asks_plug_ins_before_a_message_is_taken_on(tmp_path: Path) -> None:
+    scene, hook, message = scripted(tmp_path, 'on arrival when 1: reject "closed today"')
+    scene.courier.hooks.append(hook)
+    given_answers: list[bool] = []
+    scene.loop.spawn(scene.courier.carry, message, lambda a: given_answers.append(a.taken) or True)
+    scene.until(lambda: given_answers)
+    assert given_answers == [False] and not scene.journal.entries
+
+
+# The nginx importer
+
+NGINX = """events {}
+http {
+    proxy_connect_timeout 300ms;
+    access_log off;
+    upstream pay {
+        least_conn;
+        server 10.0.0.1:81 weight=3 max_fails=2 fail_timeout=9s;
+        server 10.0.0.2 backup;
+        server 10.0.0.3:83 down;
+        server pay.example.org:80;
+    }
+    server {
+        listen 80;
+        proxy_read_timeout 2m;
+        location /pay/ { proxy_pass http://pay/api/; proxy_read_timeout 1s500ms;
+            proxy_next_upstream_tries 2; }
+        location = /read { proxy_pass http://127.0.0.1:9000; proxy_next_upstream_timeout 4; gzip on; }
+        location ~ \\.php$ { proxy_pass http://pay; }
+        location /static/ { root /srv; }
+        location /tls/ { proxy_pass https://pay; }
+    }
+}
+"""
+
+
+def test_an_import_names_what_it_loses_and_is_loaded(tmp_path: Path,
+                                                     capsys: pytest.CaptureFixture[str]) -> None:
+    source, target = tmp_path / "nginx.conf", tmp_path / "map.json"
+    source.write_text(NGINX)
+    assert nginx.main([str(source), "--zone", "room-b"]) == 0
+    out, lost = capsys.readouterr()
+    target.write_text(out)
+    lines = sorted(int(line.split(":")[1]) for line in lost.splitlines())
+    assert lines == [4, 6, 7, 10, 17, 18, 19, 19, 20] and all(str(source) in x for x in lost.splitlines())
+    scene = Scene(tmp_path)
+    hops = config.read_map(str(target), scene.courier.settings, object())  # type: ignore[arg-type]
+    first, second, down, other = hops
+    assert first.endpoint == api.Endpoint(b"pay-1-0", 1, 1, 1, api.EndpointState.READY, 3.0, 0, 2,
+                                          1_500_000_000, 2)
+    assert (first.address, first.target, first.connect_within) == (("10.0.0.1", 81), "/api/", 300 * MS)
+    assert second.endpoint.rank == 1 and down.endpoint.state is api.EndpointState.DRAINING
+    assert (other.target, other.within, other.endpoint.patience_ns) == ("/read", 4 * SECOND, 120 * 10**9)
+
+
+@pytest.mark.parametrize(("text", "value"), [("5", 5000), ("250ms", 250), ("1m30s", 90_000)])
+def test_times_of_nginx(text: str, value: int) -> None:
+    assert nginx.milliseconds(text) == value
+    for bad in ("", "x", "5y", "-1", text + " "):
+        with pytest.raises(ValueError):
+            nginx.milliseconds(bad)
+
+
+def test_the_module_keeps_the_bounds_of_an_imported_map() -> None:
+    forwarder = Forwarder(module_settings(message_class(), max_attempts=8))
+    forwarder.feed(api.EndpointList(api.ListKind.DELTA, (
+        api.Endpoint(route("spare"), 1, rate=500.0, rank=1, tries=2, patience_ns=70 * MS * 1000, fails=1),
+        api.Endpoint(route("main"), 1, rate=1.0, tries=2, patience_ns=70 * MS * 1000, fails=1),
+    )))
+    (send,) = forwarder.arrive(1)
+    assert send.endpoint == route("main") and send.timeout_ns == 70 * MS * 1000
+    forwarder.outcome(1, api.Outcome.TIMEOUT)
+    assert any("main" in bytes.fromhex(line.split(" ")[3][:-1]).decode() for line in forwarder.logs)
+    forwarder.wait(5 * SECOND * 1000)
+    forwarder.outcome(1, api.Outcome.ERROR)
+    assert 1 in forwarder.ended and len(forwarder.sends) == 2
+    forwarder.arrive(2)
+    assert forwarder.sends[-1][1].endpoint == route("spare")
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -39,6 +39,7 @@
         self.scene, self.script = scene, script
         self.listener, self.address = listener()
         self.connections = 0
+        self.streams: list[Stream] = []
         self.seen: list[tuple[parser.Head, bytes]] = []
         scene.loop.spawn(self.accept)
 
@@ -48,7 +49,8 @@
             sock, _ = self.listener.accept()
             sock.setblocking(False)
             self.connections += 1
-            self.scene.loop.spawn(self.serve, Stream(self.scene.loop, sock, self.scene.buffers))
+            self.streams.append(Stream(self.scene.loop, sock, self.scene.buffers))
+            self.scene.loop.spawn(self.serve, self.streams[-1])
 
     def serve(self, stream: Stream) -> None:
         try:
@@ -330,8 +332,10 @@
         at = stage.loop.now + span
         stage.until(lambda at=at: stage.loop.now >= at)
         assert attempt(stage) is Outcome.OK and stage.peer.connections == connections
+    stage.peer.streams[-1].close()  # untold: a request on it now would end as a reset
+    assert attempt(stage) is Outcome.OK and stage.peer.connections == 3
     stage.peer.script = lambda *_: parser.response(200, keep=False)  # told that it will be closed
-    assert attempt(stage) is Outcome.OK and attempt(stage) is Outcome.OK and stage.peer.connections == 3
+    assert attempt(stage) is Outcome.OK and attempt(stage) is Outcome.OK and stage.peer.connections == 4
 
 
 def test_a_draining_next_hop_gets_nothing_more_even_from_calls_already_decided(tmp_path: Path) -> None:
@@ -429,7 +433,7 @@
     if not sent:
         old.courier.listed(old.pool, [], whole=True)
     old.talk(hand_in("held", cls))
-    old.until(lambda: old.courier.out if sent else old.courier.open)
+    old.until(lambda: old.peer.seen if sent else old.courier.open)
     new = Stage(tmp_path, ok)
     new.courier.resume()
     new.until(lambda: not new.journal.entries)
@@ -437,10 +441,20 @@
     assert len(new.peer.seen) == (0 if state else 1)
 
 
+def test_a_payment_turned_away_before_a_restart_goes_again_after_it(tmp_path: Path) -> None:
+    old = Stage(tmp_path, lambda *_: parser.response(503))
+    old.talk(hand_in("held", "payment"))
+    old.until(lambda: old.peer.seen and not old.courier.out)
+    new = Stage(tmp_path, ok)
+    new.courier.resume()
+    new.until(lambda: not new.journal.entries)
+    assert len(new.peer.seen) == 1 and not new.notices_seen()
+
+
 def test_a_work_order_does_not_go_again_after_its_window(tmp_path: Path) -> None:
     old = Stage(tmp_path, lambda *_: None)
     old.talk(hand_in("held", "work-order", X_Expires_In="20000m"))
-    old.until(lambda: old.courier.out)
+    old.until(lambda: old.peer.seen)
     new = Stage(tmp_path, ok)
     later = new.loop.now + 7_500 * MS
     new.until(lambda: new.loop.now >= later)
