--- a/kestrelspar/__main__.py
+++ b/kestrelspar/__main__.py
@@ -63,7 +63,8 @@
     except ValueError as error:
         log(f"configuration: {error}")
         return 2
-    courier = Courier(loop, told.settings, told.seed, Journal(told.state, told.disk_bytes))
+    courier = Courier(loop, told.settings, told.seed, Journal(told.state, told.disk_bytes,
+                                                                   told.settings.max_attempts))
     carrier = NextHops(loop, buffers, told.settings, told.sockets // 4)
     notices = Notices(loop, buffers, told.discovery)
     courier.senders[notices.name] = notices
--- a/kestrelspar/courier.py
+++ b/kestrelspar/courier.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -326,7 +327,14 @@
         if not self._events:
             return
         events, self._events = self._events, []
-        for action in self._controller.handle(self.loop.now * NS, events):
+        try:
+            actions = self._controller.handle(self.loop.now * NS, events)
+        except Exception:
+            # A fault of the module must not end the program; those it was asked about get their end.
+            log(f"fault in the module: {traceback.format_exc()}")
+            actions = [api.Fail(event.message) for event in events
+                       if isinstance(event, (api.Arrival, api.AttemptEnded))]
+        for action in actions:
             if isinstance(action, (api.Send, api.Refuse, api.Fail)):
                 desk = self._desks.pop(action.message, None)
                 if desk is not None:
--- a/kestrelspar/journal.py
+++ b/kestrelspar/journal.py
@@ -20,7 +20,8 @@
 MOST_PAYLOAD = 96 * 1024
 BLOCK = 512
 CLOCK, TAKEN, ATTEMPT, NOT_RUN, VERDICT, DONE = range(1, 7)
-LATER_RECORDS = 1024  # room kept for each open message's later records: 8 attempts and its end need less
+LATER_RECORDS = 256  # room kept for each open message's end
+LATER_ATTEMPT = 64  # and for each of its attempts: that it leaves, and that it never ran
 SHIFT_LEAST = 2_000_000  # a smaller step between the clocks of two processes is the wall clock's correction
 
 
@@ -86,8 +87,9 @@
 class Journal:
     """The open messages, and the file that outlasts the process."""
 
-    def __init__(self, folder: str, limit: int) -> None:
+    def __init__(self, folder: str, limit: int, attempts: int = 8) -> None:
         self._path, self._limit = Path(folder) / "journal", limit
+        self._later = LATER_RECORDS + LATER_ATTEMPT * attempts
         self._spare = Path(folder) / "journal.new"
         self.entries: dict[int, Entry] = {}
         self._live = 0  # bytes that the open messages take in a fresh file, later records included
@@ -149,7 +151,7 @@
         return shift
 
     def _hold(self, entry: Entry) -> None:
-        weight = len(entry.records()) + LATER_RECORDS
+        weight = len(entry.records()) + self._later
         self.entries[entry.number] = entry
         self._weights[entry.number] = weight
         self._live += weight
@@ -159,8 +161,13 @@
             self._live -= self._weights.pop(number)
 
     def _fits(self, more: int) -> bool:
-        """Whether the file, grown by this, and a compacted copy of it stay within the limit."""
-        return _blocks(self._size + more) + _blocks(self._live + more + BLOCK) + BLOCK <= self._limit
+        """Whether the file, grown by this, and a compacted copy of it stay within the limit.
+
+        The file may yet grow by what its open messages have room for: without that, a file could fill up
+        with what is live, and no record of an end would fit any more.
+        """
+        grown = max(self._size, self._live) + more
+        return _blocks(grown) + _blocks(self._live + more + BLOCK) + BLOCK <= self._limit
 
     def _compact(self) -> bool:
         """Write what is open to a new file and put it in the old one's place."""
@@ -185,7 +192,8 @@
 
     def _append(self, record: bytes) -> bool:
         """Write at the end; a write cut short is taken back, so that no later record follows a torn one."""
-        if self._size > self._limit // 4 and self._size > 3 * self._live:
+        tight = _blocks(self._size + len(record)) + _blocks(self._live + BLOCK) + BLOCK > self._limit
+        if tight or self._size > self._limit // 4 and self._size > 3 * self._live:
             self._compact()
         if _blocks(self._size + len(record)) > self._limit:
             return False
@@ -202,9 +210,8 @@
     def taken(self, number: int, deadline: int, text: str, body: bytes) -> bool:
         """A message is taken on; false when there is no room, and then it is not."""
         record = _record(TAKEN, number, _taken(deadline, text, body))
-        if not self._fits(len(record) + LATER_RECORDS) and not (
-            self._compact() and self._fits(len(record) + LATER_RECORDS)
-        ):
+        more = len(record) + self._later
+        if not self._fits(more) and not (self._compact() and self._fits(more)):
             return False
         if len(record) > MOST_PAYLOAD or not self._append(record):
             return False
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -12,6 +12,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from kestrelspar import journal as j
 from kestrelspar.buffers import BufferPool, Closed, Late, Stream
 from kestrelspar.courier import FAILED, Courier, End, Message, NextHop
 from kestrelspar.http import parser
@@ -451,6 +452,19 @@
     assert len(new.peer.seen) == 1 and not new.notices_seen()
 
 
+def test_a_fault_of_the_module_is_logged_and_ends_no_more_than_what_it_was_asked(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
+    stage = Stage(tmp_path, ok)
+    with monkeypatch.context() as broken:
+        broken.setattr(stage.courier._controller, "handle", lambda *_: 1 // 0)
+        assert b" 202 " in stage.talk(hand_in("a"))
+        stage.until(lambda: stage.notices_seen() == [{"id": "a", "state": "failed"}])
+    assert "fault in the module" in capsys.readouterr().out
+    stage.talk(hand_in("b"))
+    stage.until(lambda: not stage.journal.entries)
+    assert len(stage.peer.seen) == 1
+
+
 def test_a_work_order_does_not_go_again_after_its_window(tmp_path: Path) -> None:
     old = Stage(tmp_path, lambda *_: None)
     old.talk(hand_in("held", "work-order", X_Expires_In="20000m"))
@@ -473,3 +487,56 @@
     new.until(lambda: not new.journal.entries)
     assert [(n["id"], n["state"]) for n in new.notices_seen()] == [("held", "returned")]
     assert not new.peer.seen
+
+
+def test_killed_after_any_record_each_message_gets_one_end_and_no_payment_runs_twice(tmp_path: Path) -> None:
+    refused: set[str] = set()
+
+    def full_at_first(head: parser.Head, _: bytes) -> bytes:
+        trace = head.headers["x-trace-id"]
+        first = trace not in refused
+        refused.add(trace)
+        return parser.response(503 if first else 500 if trace.startswith("bad") else 200)
+
+    (tmp_path / "old").mkdir()
+    old = Stage(tmp_path / "old", full_at_first)
+    for trace, cls in (("r", "reading"), ("w", "work-order"), ("p", "payment"), ("bad", "payment")):
+        old.talk(hand_in(trace, cls))
+    old.until(lambda: not old.journal.entries)
+    data, at, last = (tmp_path / "old" / "journal").read_bytes(), 0, 0
+    owed: dict[int, str] = {}
+    out: dict[int, int] = {}  # message: attempts that left and are not known to be harmless
+    while at < len(data):
+        size, _, kind, number = j._HEAD.unpack_from(data, at)
+        payload, at, last = data[at + 17 : at + 17 + size], at + 17 + size, last + 1
+        if kind == j.TAKEN:
+            owed[number] = json.loads(payload[12 : 12 + int.from_bytes(payload[8:12], "little")])["trace"]
+        elif kind == j.DONE:
+            del owed[number]
+        elif kind in (j.ATTEMPT, j.NOT_RUN):
+            out[number] = out.get(number, 0) + (1 if kind == j.ATTEMPT else -1)
+        folder = tmp_path / str(last)
+        folder.mkdir()
+        (folder / "journal").write_bytes(data[:at])
+        new = Stage(folder, ok)
+        new.courier.resume()
+        new.until(lambda new=new: not new.journal.entries)
+        seen = [head.headers["x-trace-id"] for head, _ in new.peer.seen]
+        told = [str(notice["id"]) for notice in new.notices_seen()]
+        for number, trace in owed.items():
+            done_before = any(k == j.VERDICT and n == number for k, n in records(data[:at]))
+            assert seen.count(trace) + told.count(trace) <= 1
+            assert seen.count(trace) + told.count(trace) == 1 or done_before  # delivered: nothing to tell
+            if trace in ("p", "bad") and out.get(number):
+                assert trace not in seen, "a payment that may have run went again"
+        assert set(seen + told) <= set(owed.values())
+    assert last > 16
+
+
+def records(data: bytes) -> list[tuple[int, int]]:
+    found, at = [], 0
+    while at < len(data):
+        size, _, kind, number = j._HEAD.unpack_from(data, at)
+        found.append((kind, number))
+        at += j._HEAD.size + size
+    return found
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -14,8 +14,8 @@
 FIXED = settings(derandomize=True, deadline=None, max_examples=60)
 
 
-def opened(folder: Path, limit: int = 3_000_000) -> j.Journal:
-    return j.Journal(str(folder), limit)
+def opened(folder: Path, limit: int = 3_000_000, attempts: int = 8) -> j.Journal:
+    return j.Journal(str(folder), limit, attempts)
 
 
 def on_disk(folder: Path) -> int:
@@ -91,6 +91,34 @@
     assert 0 < len(held) < 100 and set(opened(tmp_path, limit).entries) == set(held)
 
 
+def test_a_file_full_of_open_messages_still_takes_all_their_later_records(tmp_path: Path) -> None:
+    limit, held = 60_000, []
+    log = opened(tmp_path, limit, 40)
+    for number in range(1, 200):
+        if log.taken(number, 100, "{}", bytes(40)):
+            held.append(number)
+    for which in range(40):  # as much as may ever come, in an order that leaves little to compact
+        for number in held:
+            assert log.attempt(number, which, 5)
+            if which < 39:
+                log.not_run(number, which)
+            assert on_disk(tmp_path) <= limit
+    for number in held:
+        log.verdict(number, "delivered", 0)
+        assert log.entries[number].verdict == opened_copy(tmp_path).entries[number].verdict
+    for number in held:
+        log.done(number)
+        assert on_disk(tmp_path) <= limit
+    assert len(held) > 5 and not opened(tmp_path, limit).entries
+
+
+def opened_copy(folder: Path) -> j.Journal:
+    copy = folder.parent / f"{folder.name}-copy"
+    copy.mkdir(exist_ok=True)
+    (copy / "journal").write_bytes((folder / "journal").read_bytes())
+    return opened(copy)
+
+
 def test_a_full_disk_defers_and_breaks_nothing(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     log = opened(tmp_path)
     log.taken(1, 100, "{}", b"kept")
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,193 @@
+"""The program as it is started: one process, real sockets, a next hop of our own, SIGTERM and SIGKILL."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import tomllib
+from collections.abc import Iterator
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from kestrelspar.smpp import pdu as p
+from kestrelspar.smpp.pdu import Command, Pdu
+from tests.test_extras import written
+from tests.test_wire import SETTINGS
+
+ROOT = Path(__file__).parent.parent
+FAR = 60  # seconds: only to end a broken test
+
+
+class World(BaseHTTPRequestHandler):
+    """Next hop and discovery in one; the test tells it what to do by class attributes."""
+
+    protocol_version = "HTTP/1.1"
+    calls: list[str] = []
+    notices: list[dict[str, Any]] = []
+    silent = False
+
+    def do_POST(self) -> None:
+        body = self.rfile.read(int(self.headers["Content-Length"]))
+        if self.path == "/reports":
+            World.notices += [json.loads(line) for line in body.splitlines()]
+            self.answer(204)
+            return
+        World.calls.append(self.headers["X-Trace-Id"])
+        if World.silent:
+            time.sleep(FAR)
+        self.answer(200)
+
+    def do_GET(self) -> None:
+        self.send_response(200)
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        self.wfile.write(b"1\r\n\n\r\n")
+        time.sleep(FAR)
+
+    def answer(self, status: int) -> None:
+        self.send_response(status)
+        self.send_header("Content-Length", "0")
+        self.end_headers()
+
+    def log_message(self, *_: object) -> None:
+        pass
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+@pytest.fixture
+def world() -> Iterator[str]:
+    World.calls, World.notices, World.silent = [], [], False
+    server = ThreadingHTTPServer(("127.0.0.1", 0), World)
+    server.daemon_threads = True
+    server.block_on_close = False
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    yield f"127.0.0.1:{server.server_port}"
+    server.shutdown()
+    server.server_close()
+
+
+def until(done: Any) -> None:
+    give_up = time.monotonic() + FAR
+    while not done():
+        assert time.monotonic() < give_up, "it does not come"
+        time.sleep(0.02)
+
+
+class Program:
+    def __init__(self, folder: Path, world: str, **environment: str) -> None:
+        self.port = free_port()
+        classes = [{"name": name, "objective_ns": 3 * 10**9, "deadline_ns": 16 * 10**9, "semantics": effect}
+                   for name, effect in (("reading", "free"), ("payment", "single_shot"))]
+        family = {"workers": 4, "routes_apart": [True]}
+        row = {"name": "s-1", "address": world, "zone": "a", "type": "m", "group": 7, "status": "active"}
+        told = written(folder, {
+            "listen": f"127.0.0.1:{self.port}", "discovery": world,
+            "settings": SETTINGS | {"classes": classes, "family_info": family, "dcs": ["a"], "kinds": ["m"]},
+            "known": {"index": 1, "snapshot": True, "endpoints": [row]},
+        })
+        command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        command = command.replace(".venv/bin/python", sys.executable)
+        self.process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, stdout=subprocess.PIPE,
+                                        env=os.environ | told | environment, text=True)
+
+    def ask(self, method: str, path: str, **headers: str) -> int | None:
+        try:
+            link = http.client.HTTPConnection("127.0.0.1", self.port, timeout=FAR)
+            link.request(method, path, b"hello" if method == "POST" else None, headers)
+            return link.getresponse().status
+        except OSError:
+            return None
+
+    def ready(self) -> Program:
+        until(lambda: self.ask("GET", "/health/ready") == 200)
+        return self
+
+    def hand_in(self, trace: str, cls: str = "reading") -> int | None:
+        return self.ask("POST", f"/{cls}", **{"X-Trace-Id": trace, "X-Qos": cls, "X-Expires-In": "15000m",
+                                              "X-Route-To": "dest=7"})
+
+    def end(self, number: signal.Signals) -> tuple[int, str]:
+        self.process.send_signal(number)
+        out, _ = self.process.communicate(timeout=FAR)
+        return self.process.returncode, out
+
+
+def test_it_serves_and_ends_in_order(tmp_path: Path, world: str) -> None:
+    program = Program(tmp_path, world).ready()
+    assert [program.hand_in(f"t{i}") for i in range(5)] == [202] * 5
+    until(lambda: len(World.calls) == 5)
+    code, out = program.end(signal.SIGTERM)
+    assert code == 0 and "closed: 0 messages stay" in out and "fault" not in out and not World.notices
+
+
+def test_killed_with_calls_out_it_comes_back_and_owes_their_ends(tmp_path: Path, world: str) -> None:
+    World.silent = True
+    program = Program(tmp_path, world).ready()
+    assert program.hand_in("pay", "payment") == 202 and program.hand_in("read") == 202
+    until(lambda: len(World.calls) == 2)
+    program.end(signal.SIGKILL)
+    World.silent = False
+    program = Program(tmp_path, world).ready()
+    until(lambda: World.notices and World.calls.count("read") == 2)
+    assert World.notices == [{"id": "pay", "state": "failed"}] and World.calls.count("pay") == 1
+    assert program.end(signal.SIGTERM)[0] == 0
+
+
+def test_the_smpp_front_is_served_by_the_same_program(tmp_path: Path, world: str) -> None:
+    port = free_port()
+    (tmp_path / "smpp.json").write_text(json.dumps({
+        "enabled": True, "listen": f"127.0.0.1:{port}", "destinations": {"372": 7},
+        "accounts": [{"system_id": "acme", "password": "pw", "class": "reading"}]}))
+    program = Program(tmp_path, world, KESTRELSPAR_SMPP=str(tmp_path / "smpp.json")).ready()
+    with socket.create_connection(("127.0.0.1", port), timeout=FAR) as sock:
+        got = b""
+
+        def ask(pdu: Pdu) -> Pdu:
+            nonlocal got
+            sock.sendall(p.encode(pdu))
+            return read()
+
+        def read() -> Pdu:
+            nonlocal got
+            while not (size := p.whole(memoryview(got))):
+                got += sock.recv(4096)
+            pdu, got = p.decode(got[:size]), got[size:]
+            return pdu
+
+        bound = ask(Pdu(Command.BIND_TRANSCEIVER, 1, 0, {"system_id": "acme", "password": "pw"}))
+        told = {"destination_addr": "3721", "registered_delivery": 1}
+        taken = ask(Pdu(Command.SUBMIT_SM, 2, 0, told, b"hi"))
+        receipt = read()
+        assert (bound.status, taken.status, receipt.command) == (0, 0, Command.DELIVER_SM)
+        assert World.calls == [taken.text("message_id")] and receipt.tlv(p.MESSAGE_STATE) == b"\x02"
+        sock.sendall(p.encode(receipt.reply()))
+    assert program.end(signal.SIGTERM)[0] == 0
+
+
+@pytest.mark.parametrize(("variable", "text", "word"), [
+    ("RELAY_LISTEN", "nowhere", "config.listen"), ("KESTRELSPAR_SMPP", '{"enabled": 1}', "smpp.enabled"),
+    ("KESTRELSPAR_MAP", '{"endpoints": [{}]}', r"map.endpoints[0].group"),
+    ("KESTRELSPAR_PLUGINS", '{"enabled": true, "scripts": ["bad.rules"]}', "bad.rules:1"),
+])
+def test_what_will_not_do_is_refused_at_start(tmp_path: Path, variable: str, text: str, word: str) -> None:
+    (tmp_path / "bad.rules").write_text("on arrival when nobody: defer 1")
+    (tmp_path / "file.json").write_text(text)
+    value = text if variable == "RELAY_LISTEN" else str(tmp_path / "file.json")
+    done = subprocess.run([sys.executable, "-m", "kestrelspar"], cwd=ROOT, capture_output=True, text=True,
+                          env=os.environ | written(tmp_path) | {variable: value}, timeout=FAR, check=False)
+    assert done.returncode == 2 and word in done.stdout and done.stdout.count("\n") == 1
--- a/tests/test_smpp.py
+++ b/tests/test_smpp.py
@@ -155,6 +155,21 @@
     assert all(gate.effects[text] == (0 if service == "PAY" else 1) for text in texts)
 
 
+def test_a_contractor_that_is_gone_before_its_answer_was_not_taken_on(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage)
+    stage.open(gateway(gate.address))
+    contractor = stage.contractor(Command.BIND_TRANSMITTER)
+
+    def leave_at_once() -> None:
+        contractor.submit(b"PAY-0", "PAY")
+        contractor.stream.close()
+
+    stage.loop.spawn(leave_at_once)
+    stage.until(lambda: stage.courier._last == 1 and not stage.server._guests)
+    assert not stage.journal.entries and not stage.courier.open and not gate.submits
+
+
 def test_a_receipt_that_was_not_acknowledged_comes_again_the_same(tmp_path: Path) -> None:
     stage = Stage(tmp_path)
     gate = StandInGateway(stage)
