SMPP: no second attempt while one is out on an open session; rejected for good is final

At fault: the client returned TIMEOUT and left the session as it was. Now the session takes nothing new and ends after its other answers; the message's next attempt waits for that (client.py Gateways._earlier), and a late answer stands for it. Checked: with _earlier switched off, the test counts copies; with retire() off, two tests fail. With one gateway only the copy did not show, as the module's ramp held the resend back for 2 s; the test has two gateways for that reason.

Also: a status that finds fault with the message (ESME_RINVDSTADR and such) was an error, so a reading was tried on; the module has the outcome REJECTED for it and fails the message at once. It is never told on the simulator's wire.

--- a/kestrelspar/courier.py
+++ b/kestrelspar/courier.py
@@ -26,7 +26,7 @@
 NO_NEW_ATTEMPTS = 2_200 * MS  # after SIGTERM: what starts later might not come back in time
 LEAVE_AT = 3_500 * MS  # after SIGTERM: SIGKILL may come at 3.7 s
 COME_BACK = 1_000 * MS  # to a client deferred at the door
-NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.REJECTED)
 
 DELIVERED, FAILED, RETURNED = "delivered", "failed", "returned"
 
--- a/kestrelspar/smpp/client.py
+++ b/kestrelspar/smpp/client.py
@@ -6,7 +6,7 @@
 
 from kestrelspar.buffers import BufferPool, Late, Stream
 from kestrelspar.config import Gateway
-from kestrelspar.courier import Message, NextHop, Result
+from kestrelspar.courier import NEVER_RAN, Message, NextHop, Result
 from kestrelspar.loop import LATE, Loop, Parking, connect, log
 from kestrelspar.smpp import errors
 from kestrelspar.smpp import pdu as p
@@ -29,6 +29,22 @@
         self.waiting: list[Parking] = []
 
 
+class Doubt:
+    """A submit_sm whose time is over and that is still out on an open session."""
+
+    def __init__(self, deadline: int) -> None:
+        self.deadline = deadline  # of its message: after that nobody asks
+        self.over = False
+        self.answer: Pdu | None = None
+        self.waiting: Parking | None = None
+
+    def settle(self, answer: Pdu | None) -> None:
+        """Its answer came after all, or its session has ended."""
+        self.over, self.answer = True, answer
+        if self.waiting is not None:
+            self.waiting.resume()
+
+
 class Gateways:
     """Makes delivery attempts to SMPP gateways."""
 
@@ -36,6 +52,7 @@
                  gateways: tuple[Gateway, ...]) -> None:
         self.loop, self.buffers, self.settings = loop, buffers, settings
         self._links = {gateway.name.encode(): Link(gateway) for gateway in gateways}
+        self._doubts: dict[int, Doubt] = {}
 
     def hops(self) -> list[NextHop]:
         """The gateways as entries of the transport map."""
@@ -55,39 +72,67 @@
         except ValueError as error:
             log(f"{message.trace} can't go to {gateway.name}: {error}")
             return Result(Outcome.MOOT, note="no submit_sm can hold it")
+        earlier = self._earlier(message, deadline, gateway)
+        if earlier is not None:
+            return earlier
         session = self._bound(link, min(deadline, self.loop.now + self.settings.connect_timeout_ns // 1000))
         if session is None:
             return Result(Outcome.CONNECT_FAILED)
         if not session.room(gateway.window, deadline):
-            if session.closed:
+            if session.closed or session.retired:
                 return Result(Outcome.CONNECT_FAILED, note="session ended")
             return Result(Outcome.MOOT, note="window full")
         # Others of its clump may have been throttled while it waited for the bind or for the window.
         if not leave():
             session.pass_on()
             return Result(Outcome.MOOT, note="barred meanwhile")
+        doubt = Doubt(message.deadline)
         try:
-            answer = session.ask(request, min(deadline, self.loop.now + gateway.response))
+            answer = session.ask(request, min(deadline, self.loop.now + gateway.response), doubt.settle)
         except NotSent:
             return Result(Outcome.CONNECT_FAILED, note="broke before the last byte")
         except Lost:
             return Result(Outcome.RESET)
         except Late:
+            # SMPP can't call it back, and the others on the session need their answers: it ends after them.
+            self._doubts = {n: d for n, d in self._doubts.items() if d.deadline > self.loop.now}
+            self._doubts[message.number] = doubt
+            session.retire()
             return Result(Outcome.TIMEOUT)
         return errors.result(answer.status, gateway.throttle_wait)
 
+    def _earlier(self, message: Message, deadline: int, gateway: Gateway) -> Result | None:
+        """What came of an earlier attempt that timed out; nothing if another may be made.
+
+        Guards against two attempts of a message at once: while the first is out on an open session, the
+        next waits. An answer that came late spares it.
+        """
+        doubt = self._doubts.get(message.number)
+        if doubt is None:
+            return None
+        if not doubt.over:
+            doubt.waiting = Parking(self.loop)
+            if self.loop.park(doubt.waiting, deadline) is LATE:
+                return Result(Outcome.MOOT, note="an earlier attempt is still out")
+        del self._doubts[message.number]
+        if doubt.answer is None:
+            return None
+        result = errors.result(doubt.answer.status, gateway.throttle_wait)
+        return None if result.outcome in NEVER_RAN else result
+
     def _bound(self, link: Link, deadline: int) -> Session | None:
         """The bound session, or nothing when connection or bind failed."""
-        if link.session is not None and not link.session.closed and not link.session.stream.ended():
-            return link.session
-        if link.session is not None:
-            link.session.close()
-            link.session = None
+        session = link.session
+        if session is not None and not (session.closed or session.retired or session.stream.ended()):
+            return session
+        if session is not None and not session.retired:
+            session.close()
+        link.session = None
         if link.binding:
             turn = Parking(self.loop)
             link.waiting.append(turn)
-            session = self.loop.park(turn, deadline)
-            return None if session is LATE or session is None or session.closed else session
+            shared = self.loop.park(turn, deadline)
+            return None if shared is LATE or shared is None or shared.closed else shared
         link.binding = True
         try:
             link.session = self._bind(link.gateway, deadline)
--- a/kestrelspar/smpp/errors.py
+++ b/kestrelspar/smpp/errors.py
@@ -14,6 +14,13 @@
     Status.ESME_RINVBNDSTS: Outcome.CONNECT_FAILED,  # it takes us for not bound: nothing was looked at
 }
 
+# The gateway finds fault with the message itself: it did not run, and would be rejected again.
+REJECTED = frozenset({
+    0x01, 0x03, 0x06, 0x07,  # length, command, priority, registered delivery
+    0x0A, 0x0B, 0x15, 0x43, 0x48, 0x49, 0x50, 0x51,  # addresses, service type, esm_class, numbering
+    0x61, 0x62, 0xC0, 0xC1, 0xC2, 0xC3, 0xC4,  # times and optional parameters
+})
+
 # What a client is answered that could not hand its message in.
 ANSWERS = {
     Reason.CLOSING: Status.ESME_RTHROTTLED,
@@ -29,7 +36,8 @@
 
 def result(status: int, throttle_wait: int) -> Result:
     """A gateway's answer as an outcome; SMPP tells no wait, so the gateway's configured one stands for it."""
-    outcome = OUTCOMES.get(status, Outcome.ERROR)  # type: ignore[call-overload]
+    other = Outcome.REJECTED if status in REJECTED else Outcome.ERROR
+    outcome = OUTCOMES.get(status, other)  # type: ignore[call-overload]
     wait = throttle_wait if outcome is Outcome.FULL else 0
     return Result(outcome, wait, note=f"status {status:#x}" if status else "")
 
--- a/kestrelspar/smpp/session.py
+++ b/kestrelspar/smpp/session.py
@@ -29,6 +29,8 @@
         self.heard = loop.now
         self._sequence = 0
         self._pending: dict[int, Parking] = {}
+        self._given_up: dict[int, Callable[[Pdu | None], None]] = {}  # who wants to know of a late answer
+        self.retired = False  # takes no new requests, and ends when none is out
         self._writing = False
         self._turns: list[Parking] = []  # of those who want to write
         self._room: list[Parking] = []  # of those who wait for the window
@@ -63,6 +65,9 @@
                 waiting.resume(pdu)
             else:  # its request has been given up
                 log(f"smpp {self.name}: {pdu.command.name.lower()} {pdu.sequence} came too late")
+                late = self._given_up.pop(pdu.sequence, None)
+                if late is not None:
+                    late(pdu)
         elif pdu.command is Command.ENQUIRE_LINK:
             self.post(pdu.reply())
         elif pdu.command is Command.UNBIND:
@@ -91,8 +96,11 @@
             return False
         return True
 
-    def ask(self, pdu: Pdu, deadline: int) -> Pdu:
-        """Write a request and wait for its response. ``NotSent``, ``Lost`` or ``Late`` if there is none."""
+    def ask(self, pdu: Pdu, deadline: int, late: Callable[[Pdu | None], None] | None = None) -> Pdu:
+        """Write a request and wait for its response. ``NotSent``, ``Lost`` or ``Late`` if there is none.
+
+        After ``Late`` the request is still out: ``late`` is called with its answer, or when the session ends.
+        """
         self._sequence = self._sequence % 0x7FFFFFFF + 1
         pdu.sequence = self._sequence
         waiting = Parking(self.loop)
@@ -106,7 +114,11 @@
             self.outstanding -= 1
             self.pass_on()
         if answer is LATE:
+            if late is not None:
+                self._given_up[pdu.sequence] = late
             raise Late
+        if self.retired:
+            self.retire()
         if answer is None:
             raise Lost
         assert isinstance(answer, Pdu)
@@ -114,14 +126,14 @@
 
     def room(self, window: int, deadline: int) -> bool:
         """Wait until fewer than ``window`` requests are out; false when time is over or the session ended."""
-        while not self.closed and self.outstanding >= window:
+        while not (self.closed or self.retired) and self.outstanding >= window:
             turn = Parking(self.loop)
             self._room.append(turn)
             if self.loop.park(turn, deadline) is LATE:
                 if turn in self._room:
                     self._room.remove(turn)
                 return False
-        return not self.closed
+        return not (self.closed or self.retired)
 
     def pass_on(self) -> None:
         """Let the next in line have the room: after an answer, or from one who was given it and did not ask.
@@ -131,6 +143,12 @@
         if self._room:
             self._room.pop(0).resume()
 
+    def retire(self) -> None:
+        """No new requests; the session ends when the last answer is here or given up."""
+        self.retired = True
+        if not self.outstanding:
+            self.close()
+
     def _write(self, data: bytes, deadline: int) -> None:
         """Write whole PDUs one after the other, whoever asks; one cut short ends the session."""
         while self._writing and not self.closed:
@@ -181,3 +199,5 @@
         self.stream.close()
         for parking in [*self._pending.values(), *self._turns, *self._room]:
             parking.resume(None)
+        for late in self._given_up.values():
+            late(None)
--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -600,7 +600,11 @@
             dest.inflight -= 1
             self.inflight -= 1
         route.heard = self.now
-        if outcome is not Outcome.MOOT and outcome is not call.taught:  # one call is one lesson
+        if outcome is Outcome.REJECTED:  # of the message, not of the route: nobody need try it again
+            if not message.done and not event.closed:
+                self.actions.append(api.Fail(message.id))
+                self._close(message)
+        elif outcome is not Outcome.MOOT and outcome is not call.taught:  # one call is one lesson
             call.taught = outcome
             capped = outcome is Outcome.CONNECT_FAILED and not route.down
             unseen = call.idle < NEVER and self.stale > STALE and outcome in (Outcome.TIMEOUT, Outcome.RESET)
--- a/snowlock/interface.py
+++ b/snowlock/interface.py
@@ -38,6 +38,7 @@
     RESET = 5
     CANCELLED = 6
     MOOT = 7
+    REJECTED = 8  # never on the simulator's wire: it did not run, and would be rejected again
 
 
 class EndpointState(IntEnum):
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -82,6 +82,12 @@
             assert self.loop.now < give_up, "the loop waits for something that does not come"
             self.loop.turn()
 
+    def wait(self, span: int) -> None:
+        """Let just so much time pass; a timer stops the skipping there."""
+        over: list[int] = []
+        self.loop.at(self.loop.now + span, lambda: over.append(1))
+        self.until(lambda: over)
+
 
 def listener() -> tuple[socket.socket, tuple[str, int]]:
     sock = socket.socket()
--- a/tests/smpp_standins.py
+++ b/tests/smpp_standins.py
@@ -28,7 +28,9 @@
     """Counts what takes effect; cuts the connection at one step, ``cuts`` times; answers as told."""
 
     def __init__(self, scene: Scene, cut: str = "", cuts: int = 1,
-                 script: Callable[[Pdu], int | None] = lambda _: 0) -> None:
+                 script: Callable[[Pdu], int | None] = lambda _: 0,
+                 pause: Callable[[Pdu], int] = lambda _: 5 * MS) -> None:
+        self.pause = pause
         self.scene, self.loop, self.cut, self.cuts, self.script = scene, scene.loop, cut, cuts, script
         self.listener, self.address = listener()
         self.effects: Counter[bytes] = Counter()
@@ -36,7 +38,8 @@
         self.last: dict[bytes, int] = {}
         self.submits: list[Pdu] = []
         self.calls: list[int] = []
-        self.out = self.most_out = 0
+        self.out = self.most_out = self.copies = 0
+        self.on: dict[bytes, Stream] = {}  # where a submit_sm waits for its answer
         self.loop.spawn(self.accept)
 
     def accept(self) -> None:
@@ -82,17 +85,21 @@
         status = self.script(pdu)
         self.calls.append(self.loop.now)
         self.submits.append(pdu)
+        earlier = self.on.get(text)
+        self.copies += earlier is not None and earlier.sock.fileno() >= 0 and not earlier.ended()
+        self.on[text] = stream
         if not status:
             self.effects[text] += 1
             self.first.setdefault(text, self.loop.now)
             self.last[text] = self.loop.now
         self.out += 1
         self.most_out = max(self.most_out, self.out)
-        self.loop.sleep(5 * MS)
+        self.loop.sleep(self.pause(pdu))
         self.out -= 1
         if self.cuts_now("submit"):
             stream.close()
         elif status is not None:
+            del self.on[text]
             answer = p.encode(pdu.reply(status, message_id="g1"))
             half = self.cuts_now("half answer")
             self.write_bytes(stream, answer[:9] if half else answer)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -330,8 +330,7 @@
 def test_idle_connections_are_closed_in_time_and_dead_ones_not_used(tmp_path: Path) -> None:
     stage = Stage(tmp_path, lambda *_: parser.response(200))
     for span, connections in ((0, 1), (4_000 * MS, 1), (4_500 * MS, 2)):
-        at = stage.loop.now + span
-        stage.until(lambda at=at: stage.loop.now >= at)
+        stage.wait(span)
         assert attempt(stage) is Outcome.OK and stage.peer.connections == connections
     stage.peer.streams[-1].close()  # untold: a request on it now would end as a reset
     assert attempt(stage) is Outcome.OK and stage.peer.connections == 3
@@ -470,8 +469,7 @@
     old.talk(hand_in("held", "work-order", X_Expires_In="20000m"))
     old.until(lambda: old.peer.seen)
     new = Stage(tmp_path, ok)
-    later = new.loop.now + 7_500 * MS
-    new.until(lambda: new.loop.now >= later)
+    new.wait(7_500 * MS)
     new.courier.resume()
     new.until(lambda: not new.journal.entries)
     assert not new.peer.seen and [n["state"] for n in new.notices_seen()] == ["returned"]
--- a/tests/test_smpp.py
+++ b/tests/test_smpp.py
@@ -129,6 +129,47 @@
     assert sorted(next(iter(s)) for s in contractor.ends().values()) == [DELIVRD, UNDELIV]
 
 
+def test_no_second_attempt_while_the_first_is_out_on_an_open_session(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage, script=lambda pdu: 0 if pdu.message != b"RD-0" or gate.calls else None,
+                          pause=lambda pdu: 390 * MS if pdu.message.startswith(b"PAY") else 5 * MS)
+    stage.open(gateway(gate.address, "one"), gateway(gate.address, "two"))  # the second is free to resend on
+    contractor = stage.contractor()
+    submit_all(stage, contractor, "RD", 1)
+    for i in range(4):  # answered in time, they keep the session open past the reading's time-out
+        stage.wait(130 * MS)
+        submit_all_more(stage, contractor, b"PAY-%d" % i, "PAY")
+    stage.until(lambda: len(contractor.ends()) == 5)
+    assert set(map(frozenset, contractor.ends().values())) == {frozenset({DELIVRD})}
+    assert gate.copies == 0 and gate.effects[b"RD-0"] == 2 and len(gate.submits) == 6
+
+
+def test_an_answer_that_came_late_spares_the_next_attempt(tmp_path: Path) -> None:
+    pauses = {b"RD-0": 500 * MS, b"PAY-0": 350 * MS}
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage, pause=lambda pdu: pauses[pdu.message])
+    stage.open(gateway(gate.address))
+    contractor = stage.contractor()
+    submit_all(stage, contractor, "RD", 1)
+    stage.wait(200 * MS)
+    submit_all_more(stage, contractor, b"PAY-0", "PAY")
+    stage.until(lambda: len(contractor.ends()) == 2)
+    assert set(map(frozenset, contractor.ends().values())) == {frozenset({DELIVRD})}
+    assert gate.effects == {b"RD-0": 1, b"PAY-0": 1} and gate.copies == 0
+
+
+@pytest.mark.parametrize("service", ["RD", "PAY"])
+def test_what_a_gateway_rejects_for_good_is_not_tried_again(tmp_path: Path, service: str) -> None:
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage, script=lambda _: Status.ESME_RINVDSTADR)
+    stage.open(gateway(gate.address))
+    contractor = stage.contractor()
+    submit_all(stage, contractor, service, 2)
+    stage.until(lambda: len(contractor.ends()) == 2)
+    assert set(map(frozenset, contractor.ends().values())) == {frozenset({UNDELIV})}
+    assert len(gate.submits) == 2
+
+
 def submit_all_more(stage: Stage, contractor: StandInContractor, text: bytes, service: str) -> None:
     before = len(contractor.answers)
     stage.loop.spawn(lambda: contractor.submit(text, service))
