--- a/kestrelspar/__main__.py
+++ b/kestrelspar/__main__.py
@@ -63,21 +63,27 @@
     except ValueError as error:
         log(f"configuration: {error}")
         return 2
-    courier = Courier(loop, told.settings, told.seed, Journal(told.state, told.disk_bytes,
-                                                                   told.settings.max_attempts))
+    try:
+        journal = Journal(told.state, told.disk_bytes, told.settings.max_attempts)
+        listener = listen(told.listen)
+        smpp_listener = None if smpp is None else listen(smpp.listen)
+    except OSError as error:  # a folder that can't be written, an address that is taken
+        log(f"can't start: {error}")
+        return 2
+    courier = Courier(loop, told.settings, told.seed, journal)
     carrier = NextHops(loop, buffers, told.settings, told.sockets // 4)
     notices = Notices(loop, buffers, told.discovery)
     courier.senders[notices.name] = notices
     # Descriptors: idle connections to next hops, calls out, and for discovery, notices, listeners and files.
     kept = told.sockets // 4 + told.sockets // 8 + told.settings.slots + max(32, told.sockets // 16)
-    if smpp is not None:
+    if smpp is not None and smpp_listener is not None:
         kept += smpp.most_sessions + len(smpp.gateways) + 1
         gateways = Gateways(loop, buffers, told.settings, smpp.gateways)
         contractors = SmppServer(loop, buffers, courier, smpp)
         courier.senders[contractors.name] = contractors
         courier.at_leave += [contractors.leave, gateways.leave]
         courier.listed(gateways, gateways.hops(), whole=True)
-        loop.spawn(contractors.accept, listen(smpp.listen))
+        loop.spawn(contractors.accept, smpp_listener)
         log(f"smpp serves on {smpp.listen[0]}:{smpp.listen[1]}, {len(smpp.gateways)} gateways")
     if rules:
         courier.hooks.append(Plugins(loop, told.settings, rules))
@@ -87,7 +93,6 @@
     server = SenderServer(loop, buffers, courier, notices, max(16, told.sockets - kept))
     watch = Watch(loop, buffers, courier, carrier, told.discovery)
     _on_signals(loop, courier)
-    listener = listen(told.listen)
     if told.known:
         watch.take(told.known)
     courier.resume()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -179,6 +179,13 @@
     assert program.end(signal.SIGTERM)[0] == 0
 
 
+def test_a_taken_address_is_named(tmp_path: Path, world: str) -> None:
+    done = subprocess.run([sys.executable, "-m", "kestrelspar"], cwd=ROOT, capture_output=True, text=True,
+                          env=os.environ | written(tmp_path) | {"RELAY_LISTEN": world}, timeout=FAR,
+                          check=False)
+    assert done.returncode == 2 and "can't start" in done.stdout
+
+
 @pytest.mark.parametrize(("variable", "text", "word"), [
     ("RELAY_LISTEN", "nowhere", "config.listen"), ("KESTRELSPAR_SMPP", '{"enabled": 1}', "smpp.enabled"),
     ("KESTRELSPAR_MAP", '{"endpoints": [{}]}', r"map.endpoints[0].group"),
