SMPP: leave sessions with calls out alone at closing; any message goes to a gateway

Seen in a new test: at closing, 3.5 s after SIGTERM, a payment whose submit_sm was out came back as reset and was failed in the last 50 ms. At fault: Gateways.leave unbound every session, and unbinding ends what is out on it. Checked: the courier's own clock was not over and the gateway had not closed. Also tested: a message of another front goes to a gateway by either bind, as short_message or message_payload.

--- a/kestrelspar/smpp/client.py
+++ b/kestrelspar/smpp/client.py
@@ -181,9 +181,9 @@
             link.session = None
 
     def leave(self) -> None:
-        """Unbind everywhere."""
+        """Unbind where nothing is out. What is out may yet be answered, and otherwise is the journal's."""
         for link in self._links.values():
-            if link.session is not None:
+            if link.session is not None and not link.session.outstanding:
                 self.loop.spawn(link.session.unbind)
 
 
--- a/tests/test_smpp.py
+++ b/tests/test_smpp.py
@@ -11,12 +11,13 @@
 from hypothesis import strategies as st
 
 from kestrelspar.config import Gateway
+from kestrelspar.courier import DELIVERED, Message
 from kestrelspar.loop import MS, SECOND, connect
 from kestrelspar.smpp import pdu as p
 from kestrelspar.smpp.client import Gateways
 from kestrelspar.smpp.pdu import Command, Pdu, Status
 from kestrelspar.smpp.server import SmppServer, validity
-from tests.bench import Scene, listener
+from tests.bench import READING, Scene, listener
 from tests.smpp_standins import CUTS, StandInContractor, StandInGateway, front, gateway
 
 FIXED = settings(derandomize=True, deadline=None, max_examples=80)
@@ -280,6 +281,36 @@
     assert (got.text("source_addr"), got.number("source_addr_ton"), got.number("data_coding")) == ("55", 5, 8)
 
 
+@pytest.mark.parametrize("bind", ["transmitter", "transceiver"])
+def test_any_sender_sides_message_goes_to_a_gateway(tmp_path: Path, bind: str) -> None:
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage)
+    stage.open(gateway(gate.address, bind=bind))
+    for trace, body in (("short", b"\0\xff text"), ("long", b"L" * 300)):
+        message = Message(trace, READING, 0, 900, stage.loop.now + 9 * SECOND, body, stage.ends)
+        stage.loop.spawn(stage.courier.carry, message, lambda given: given.taken)
+    stage.until(lambda: len(stage.ends.told) == 2 and not stage.journal.entries)
+    assert sorted(stage.ends.told) == [("long", DELIVERED), ("short", DELIVERED)]
+    assert sorted((pdu.message, pdu.tlv(p.MESSAGE_PAYLOAD)) for pdu in gate.submits) == [
+        (b"", b"L" * 300), (b"\0\xff text", None)]
+    assert {(pdu.text("source_addr"), pdu.text("destination_addr")) for pdu in gate.submits} == {("1", "2")}
+
+
+def test_closing_defers_unbinds_and_keeps_what_is_owed(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    mute = StandInGateway(stage, script=lambda _: None)
+    stage.open(gateway(mute.address, response=20 * SECOND))
+    stage.courier.at_leave += [stage.server.leave, stage.gates.leave]
+    contractor = stage.contractor()
+    submit_all(stage, contractor, "PAY", 1)
+    stage.until(lambda: mute.calls)
+    stage.courier.close()
+    submit_all_more(stage, contractor, b"RD-1", "RD")
+    assert contractor.answers[-1].status == Status.ESME_RTHROTTLED
+    stage.until(lambda: stage.loop._stopped)
+    assert contractor.answers[-1].command is Command.UNBIND and len(stage.journal.entries) == 1
+
+
 def test_a_link_that_does_not_answer_is_closed(tmp_path: Path) -> None:
     stage = Stage(tmp_path)
     sock, address = listener()
