SIGHUP reads the configuration again and moves watch and notices

At fault: __main__._on_signals handled SIGTERM and SIGINT only. Checked: config.read lets RELAY_DISCOVERY go before the file, so reading the file again alone would have kept the old address; the watch asked for 'after=INDEX' only, and an index of the old discovery means nothing at another. Now: signals are heard from the very start of the program; SIGHUP reads the file (its discovery goes first), logs a bad one with its key and keeps the old; watch and notices close what they have and go on at the new address at once, the watch with the whole list. Keys that are read only once are named. A body may be read in pieces, so a whole list may be longer than a buffer, and the notices' kept connection is used only while nothing unasked lies on it. Tests seen to fail without it: a move of discovery with requests under way; SIGHUP to the real program, bad file first.

--- a/kestrelspar/__main__.py
+++ b/kestrelspar/__main__.py
@@ -7,6 +7,8 @@
 import signal
 import socket
 import sys
+from collections.abc import Callable, Mapping
+from functools import partial
 from pathlib import Path
 
 from kestrelspar import config
@@ -23,34 +25,56 @@
 from kestrelspar.smpp.server import SmppServer
 
 DEPLOY = f"{Path(__file__).parent.parent}/deploy/"
+LATER = ("name", "listen", "state", "sockets", "disk_bytes", "settings")  # of the configuration: read once
 
 
-def _on_signals(loop: Loop, courier: Courier) -> None:
-    """Have SIGTERM and SIGINT close the courier, from a task and not from the handler."""
+def _ear() -> socket.socket:
+    """What hears the signals: each comes as a byte, so that a task and not a handler heeds it.
+
+    One that comes while the program starts waits there.
+    """
     ear, mouth = socket.socketpair()
     for end in (ear, mouth):
         end.setblocking(False)
     wakeup = mouth.detach()  # owned by the process: closed with its socket object, its other end would wake
     signal.set_wakeup_fd(wakeup, warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, lambda *_: None)
+    return ear
+
+
+def _heed(loop: Loop, ear: socket.socket, calls: Mapping[int, Callable[[], None]]) -> None:
+    """Do what the signals ask for, each in a task of its own: a fault in one leaves the others."""
+    while True:
+        loop.readable(ear, None)
+        try:
+            numbers = ear.recv(64)
+        except BlockingIOError:
+            continue
+        for number in numbers:
+            if number in calls:
+                loop.spawn(calls[number])
 
-    def heed() -> None:
-        while True:
-            loop.readable(ear, None)
-            try:
-                if not ear.recv(64):
-                    return
-            except BlockingIOError:
-                continue
-            courier.close()
 
-    loop.spawn(heed)
+def _reload(environment: Mapping[str, str], told: config.Config, watch: Watch, notices: Notices) -> None:
+    """SIGHUP: read the configuration again and follow discovery to its new address; open messages go on."""
+    try:
+        fresh = config.read(environment, again=True)
+    except ValueError as error:
+        log(f"configuration not taken, the old one stays: {error}")
+        return
+    later = [key for key in LATER if getattr(fresh, key) != getattr(told, key)]
+    log("configuration read again" + (f"; at the next start only: {', '.join(later)}" if later else ""))
+    if fresh.discovery != watch.discovery:
+        log(f"discovery moves to {fresh.discovery[0]}:{fresh.discovery[1]}")
+        watch.move(fresh.discovery)
+        notices.move(fresh.discovery)
 
 
 def main() -> int:
     """Serve; exit code 0 after SIGTERM, 2 for a configuration that will not do."""
     environment = os.environ
+    ear = _ear()
     try:
         told = config.read(environment)
         smpp = config.read_smpp(environment.get("KESTRELSPAR_SMPP", DEPLOY + "smpp.json"), told.settings)
@@ -92,14 +116,18 @@
         courier.listed(own, own_hops, whole=True)
     server = SenderServer(loop, buffers, courier, notices, max(16, told.sockets - kept))
     watch = Watch(loop, buffers, courier, carrier, told.discovery)
-    _on_signals(loop, courier)
+    loop.spawn(_heed, loop, ear, {
+        signal.SIGTERM: courier.close, signal.SIGINT: courier.close,
+        signal.SIGHUP: partial(_reload, environment, told, watch, notices),
+    })
     if told.known:
         watch.take(told.known)
     courier.resume()
     loop.spawn(watch.run)
     loop.spawn(server.accept, listener)
     courier.ready = True
-    log(f"{told.name} serves on {told.listen[0]}:{told.listen[1]}, {len(courier.hops)} next hops known")
+    log(f"{told.name} serves on {told.listen[0]}:{told.listen[1]}, {len(courier.hops)} next hops known, "
+        f"{told.settings.slots} slots, {told.settings.max_open} messages at most")
     gc.freeze()
     loop.run()
     return 0
--- a/kestrelspar/buffers.py
+++ b/kestrelspar/buffers.py
@@ -107,6 +107,17 @@
         except OSError:
             return True
 
+    def quiet(self) -> bool:
+        """Whether nothing at all has come, read or unread, nor the end: only then may a connection that
+        nobody waits on be used again, else a noise would be read as the next answer."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return self._start == self._end
+        except OSError:
+            pass
+        return False
+
     def close(self) -> None:
         """Close the socket and give the buffer back."""
         self.consume(self._end - self._start)
--- a/kestrelspar/config.py
+++ b/kestrelspar/config.py
@@ -132,14 +132,17 @@
         raise SettingsError(f"{path}: {error}") from error
 
 
-def read(environment: Mapping[str, str]) -> Config:
-    """Configuration from RELAY_CONFIG's file; the other RELAY_ variables go before it."""
+def read(environment: Mapping[str, str], again: bool = False) -> Config:
+    """Configuration from RELAY_CONFIG's file; the other RELAY_ variables go before it.
+
+    Read again, the file is newer than the environment: where discovery is, it says.
+    """
     if "RELAY_CONFIG" not in environment:
         raise SettingsError("RELAY_CONFIG: missing")
     raw = _object_or_error(read_json(environment["RELAY_CONFIG"]))
     for key in ("name", "listen", "discovery", "state"):
         variable = f"RELAY_{key.upper()}"
-        if environment.get(variable):
+        if environment.get(variable) and not (again and key == "discovery" and key in raw):
             raw[key] = environment[variable]
     top = Section(raw, "config")
     limits = top.section("limits", optional=True)
--- a/kestrelspar/http/notices.py
+++ b/kestrelspar/http/notices.py
@@ -24,6 +24,16 @@
         self._owed: list[tuple[str, Parking]] = []
         self._stream: Stream | None = None
         self._busy = False
+        self._moves = 0
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Tell another address from now on, first of all what is still owed."""
+        self.address, self._moves = address, self._moves + 1
+        if self._stream is not None:
+            self._stream.close()  # a post that waits there ends, and its task with it
+            self._stream = None
+        if self._busy:
+            self.loop.spawn(self._tell)
 
     def settle(self, message: Message, end: End) -> None:
         """Tell the end; a delivered message needs no notice."""
@@ -40,19 +50,23 @@
         self.loop.park(heard)
 
     def _tell(self) -> None:
-        """Send what is owed, in batches, until nothing is."""
-        wait = WAIT_FIRST
+        """Send what is owed, in batches, until nothing is, or the platform moves."""
+        wait, moves = WAIT_FIRST, self._moves
         while self._owed:
             batch = self._owed[:MOST_AT_ONCE]
             status = self._post("".join(line + "\n" for line, _ in batch).encode())
             if status == 400 and len(batch) > 1:  # one line must not hold back the others
                 batch = batch[:1]
                 status = self._post((batch[0][0] + "\n").encode())
+            if moves != self._moves:
+                return  # another task tells the new address
             if status == 400:
                 log(f"notice refused as unreadable: {batch[0][0]}")
             elif status is None or not 200 <= status < 300:
                 log(f"notices not heard ({status}), again in {wait // MS} ms")
                 self.loop.sleep(wait)
+                if moves != self._moves:
+                    return
                 wait = min(WAIT_MOST, 2 * wait)
                 continue
             wait = WAIT_FIRST
@@ -63,27 +77,30 @@
 
     def _post(self, body: bytes) -> int | None:
         """The status of one post, on the kept connection or a new one."""
-        deadline = self.loop.now + ANSWER_WITHIN
-        if self._stream is not None and self._stream.ended():
-            self._stream.close()
-            self._stream = None
-        if self._stream is None:
+        deadline, moves = self.loop.now + ANSWER_WITHIN, self._moves
+        stream, self._stream = self._stream, None
+        if stream is not None and not stream.quiet():
+            stream.close()
+            stream = None
+        if stream is None:
             sock = connect(self.loop, self.address, deadline)
             if sock is None:
                 return None
-            self._stream = Stream(self.loop, sock, self.buffers)
-        try:
-            headers = {"Content-Type": "application/x-ndjson"}
-            self._stream.write(parser.request("POST", "/reports", "app.svc", headers, body), deadline)
-            answer = parser.read_head(self._stream, deadline, response=True)
-            if answer.status != 204:
-                parser.read_body(self._stream, answer, deadline, response=True)
-            if answer.keeps:
-                return answer.status
-        except (Closed, Late, parser.BadMessage):
-            self._stream.close()
-            self._stream = None
-            return None
-        self._stream.close()
-        self._stream = None
-        return answer.status
+            stream = Stream(self.loop, sock, self.buffers)
+        if moves == self._moves:
+            self._stream = stream  # for ``move`` to close
+            try:
+                headers = {"Content-Type": "application/x-ndjson"}
+                stream.write(parser.request("POST", "/reports", "app.svc", headers, body), deadline)
+                answer = parser.read_head(stream, deadline, response=True)
+                if answer.status != 204:
+                    parser.read_body(stream, answer, deadline, response=True)
+                if answer.keeps and moves == self._moves:
+                    return answer.status
+                status: int | None = answer.status
+            except (Closed, Late, parser.BadMessage):
+                status = None
+            if moves == self._moves:
+                self._stream = None
+        stream.close()
+        return None if moves != self._moves else status
--- a/kestrelspar/http/parser.py
+++ b/kestrelspar/http/parser.py
@@ -74,7 +74,7 @@
     return Head((parts[0], parts[1], parts[2]), headers, end + 4)
 
 
-def body_length(parsed: Head) -> int | None:
+def body_length(parsed: Head, most: int = MOST_BODY) -> int | None:
     """The body's length as told; nothing if it is chunked, -1 if it is not told."""
     coding = parsed.headers.get("transfer-encoding")
     length = parsed.headers.get("content-length")
@@ -87,7 +87,7 @@
         return -1
     if not (length.isascii() and length.isdigit()):
         raise BadMessage("bad length")
-    if len(length) > 9 or int(length) > MOST_BODY:
+    if len(length) > 9 or int(length) > most:
         raise BadMessage("body too long", 413)
     return int(length)
 
@@ -158,39 +158,36 @@
     return parsed
 
 
-def read_body(stream: Stream, parsed: Head, deadline: int | None, response: bool = False) -> bytes:
-    """The body that follows the head."""
-    length = body_length(parsed)
-    if length is None:
-        chunks, parts, size = Chunks(), [], 0
-        while True:
+def read_body(stream: Stream, parsed: Head, deadline: int | None, response: bool = False,
+              most: int = MOST_BODY) -> bytes:
+    """The body that follows the head, in whatever pieces it comes."""
+    length = body_length(parsed, most)
+    if length is not None and length < 0:
+        if not response:
+            return b""
+        length = most + 1  # to the end of the connection
+    chunks = Chunks() if length is None else None
+    parts, size = [], 0
+    while True:
+        if chunks is not None:
             data, used = chunks.take(bytes(stream.unread))
-            stream.consume(used)
-            parts.append(data)
-            size += len(data)
-            if size > MOST_BODY:
-                raise BadMessage("body too long", 413)
-            if chunks.done:
-                return b"".join(parts)
-            stream.fill(deadline)
-    if length < 0 and not response:
-        return b""
-    if length < 0:
-        parts, size = [], 0
+        else:
+            assert length is not None
+            data = bytes(stream.unread[: length - size])
+            used = len(data)
+        stream.consume(used)
+        parts.append(data)
+        size += len(data)
+        if size > most:
+            raise BadMessage("body too long", 413)
+        if size == length or chunks is not None and chunks.done:
+            return b"".join(parts)
         try:
-            while size <= MOST_BODY:
-                parts.append(bytes(stream.unread))
-                size += len(parts[-1])
-                stream.consume(len(parts[-1]))
-                stream.fill(deadline)
+            stream.fill(deadline)
         except Closed:
+            if length != most + 1:
+                raise
             return b"".join(parts)
-        raise BadMessage("body too long", 413)
-    while len(stream.unread) < length:
-        stream.fill(deadline)
-    body = bytes(stream.unread[:length])
-    stream.consume(length)
-    return body
 
 
 REASONS = {200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
--- a/kestrelspar/http/watch.py
+++ b/kestrelspar/http/watch.py
@@ -35,7 +35,9 @@
                  discovery: tuple[str, int]) -> None:
         self.loop, self.buffers, self.courier, self.carrier = loop, buffers, courier, carrier
         self.discovery = discovery
-        self.index = 0
+        self.index = 0  # of what was heard last; 0: nothing, so the whole list is asked for
+        self._stream: Stream | None = None
+        self._moves = 0
 
     def take(self, raw: Any) -> None:
         """Take in one object of the list; a bad entry is logged and passed over, as is what is no list."""
@@ -57,23 +59,38 @@
         if isinstance(index, int) and not isinstance(index, bool):
             self.index = index
 
+    def move(self, discovery: tuple[str, int]) -> None:
+        """Follow discovery at another address from now on, beginning with its whole list."""
+        self.discovery, self.index, self._moves = discovery, 0, self._moves + 1
+        if self._stream is not None:
+            self._stream.close()
+        self.loop.spawn(self.run)  # the old task may wait for a connection, and ends by itself
+
     def run(self) -> None:
-        """Watch for as long as the process runs; reconnect with growing waits."""
-        wait = WAIT_FIRST
-        while True:
+        """Watch until discovery moves; reconnect with growing waits."""
+        wait, moves = WAIT_FIRST, self._moves
+        while moves == self._moves:
             heard = self._watch()
+            if moves != self._moves:
+                return
             wait = WAIT_FIRST if heard else min(WAIT_MOST, 2 * wait)
             log(f"transport map: watch ended at {self.index}, again in {wait // MS} ms")
             self.loop.sleep(wait)
 
     def _watch(self) -> bool:
         """One connection's life; whether it told anything."""
-        heard = False
+        heard, moves = False, self._moves
         sock = connect(self.loop, self.discovery, self.loop.now + SILENCE)
         if sock is None:
             return False
         stream = Stream(self.loop, sock, self.buffers)
+        if moves != self._moves:
+            stream.close()
+            return False
+        self._stream = stream
         try:
+            if not self.index:
+                heard = self._whole(stream)
             target = f"/registry/instances?watch=1&after={self.index}"
             stream.write(parser.request("GET", target, "app.svc", {}), self.loop.now + SILENCE)
             answer = parser.read_head(stream, self.loop.now + SILENCE, response=True)
@@ -100,6 +117,16 @@
         finally:
             stream.close()
 
+    def _whole(self, stream: Stream) -> bool:
+        """Ask for the whole list, as what changed after version 0 need not be all of it; whether it came."""
+        deadline = self.loop.now + SILENCE
+        stream.write(parser.request("GET", "/registry/instances", "app.svc", {}), deadline)
+        answer = parser.read_head(stream, deadline, response=True)
+        body = parser.read_body(stream, answer, deadline, response=True, most=MOST_LINE)
+        if answer.status == 200:
+            self._line(body)
+        return answer.status == 200
+
     def _line(self, line: bytes) -> None:
         self.courier.map_current = True
         if not line.strip():
