Only a whole answer says that a call never ran; a 200 first line is enough

Seen by reading: http/nexthop.py took 429, 503, 504 and 410 as 'never ran' by their heads alone (meaning() before the body was read; body_told() made a bad length pass), so a payment on a spoilt refusal could go out twice; a 200 needed a whole head; ended() looked for an end only, so a second copy on an idle connection was the next call's answer; a report that lacked a column or held nan read as zeros, which tell the module that there is no limit. Now an answer that does not come whole and well formed within 1 s of its first byte may have run; a wait that it told is heeded by the module all the same (control.py: wait_ns counts with any outcome). What lies behind a refusal, other than a copy of it, makes it doubtful: its length may be too short. Any readable byte ends an idle connection.

--- a/kestrelspar/http/nexthop.py
+++ b/kestrelspar/http/nexthop.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from kestrelspar.buffers import BufferPool, Closed, Late, Stream
-from kestrelspar.courier import Message, NextHop, Result
+from kestrelspar.courier import NEVER_RAN, Message, NextHop, Result
 from kestrelspar.http import parser
 from kestrelspar.loop import MS, SECOND, Loop, connect
 from snowlock import interface as api
@@ -15,6 +15,7 @@
 IDLE_PART = 0.86  # of conn_idle: closed well before the other machine does, which counts from its own answer
 REAP_EVERY = 200 * MS
 MOST_WAIT = 3_600 * SECOND
+REST_WITHIN = 1 * SECOND  # an answer that has begun comes whole within this, or is spoilt
 
 
 def seconds(text: str) -> int:
@@ -27,7 +28,7 @@
 
 
 def load_report(text: str, columns: tuple[str, ...]) -> tuple[float, ...]:
-    """The values that the settings name, in their order; nothing if none is told."""
+    """The values that the settings name, in their order; nothing unless all of them are told and usable."""
     told: dict[str, float] = {}
     for pair in text.removeprefix("TEXT").split(","):
         name, _, value = pair.partition("=")
@@ -35,10 +36,9 @@
             told[name.strip()] = float(value)
         except ValueError:
             continue
-    if not columns or not any(name in told for name in columns):
-        return ()
-    values = (told.get(name, 0.0) for name in columns)
-    return tuple(value if math.isfinite(value) else 0.0 for value in values)
+    values = tuple(told.get(name, math.nan) for name in columns)
+    # Zeros in place of what can't be read would tell the module that there is no limit.
+    return values if all(math.isfinite(value) and value >= 0 for value in values) else ()
 
 
 def meaning(status: int, headers: dict[str, str], columns: tuple[str, ...]) -> Result:
@@ -60,6 +60,11 @@
     return Result(Outcome.ERROR, report=report, note=str(status))
 
 
+def _again(stream: Stream, answer: parser.Head) -> bool:
+    """Whether what came behind an answer is a copy of it, as far as the first line tells."""
+    return bytes(stream.unread).startswith(" ".join(answer.first).encode("latin-1"))
+
+
 class NextHops:
     """Makes delivery attempts; keeps idle connections for reuse."""
 
@@ -95,35 +100,82 @@
         except (Closed, Late):  # before its last byte: it never ran
             stream.close()
             return Result(Outcome.CONNECT_FAILED, note="broke before the last byte")
+        return self._answer(hop, stream, deadline)
+
+    def _answer(self, hop: NextHop, stream: Stream, deadline: int) -> Result:
+        """The outcome of a call that is written.
+
+        A first line with 200 is delivered, whatever follows. Any other answer counts only as a whole: one
+        that breaks off or does not fit its own length may be noise, and proves nothing, least of all that the
+        message never ran.
+        """
         try:
-            answer = parser.read_head(stream, deadline, response=True)
-            while answer.status < 200:
-                answer = parser.read_head(stream, deadline, response=True)
-            result = meaning(answer.status, answer.headers, self.settings.columns)
-        except (Closed, parser.BadMessage):
+            while not len(stream.unread):
+                stream.fill(deadline)
+        except Closed:
             stream.close()
             return Result(Outcome.RESET)
         except Late:
             stream.close()
             return Result(Outcome.TIMEOUT)
-        if answer.status in (204, 304) or parser.body_told(answer) == 0:
-            self._finish(hop, stream, answer.keeps)
-        else:
-            self.loop.spawn(self._read_out, hop, stream, answer, deadline)
+        deadline = min(deadline, self.loop.now + REST_WITHIN)
+        wait = 0  # heeded even if the answer that tells it is spoilt
+        try:
+            while (status := parser.status(stream.unread)) is None or status < 200:
+                if status is None:
+                    stream.fill(deadline)
+                else:
+                    parser.read_head(stream, deadline, response=True)  # 1xx: the answer is still to come
+            if status == 200:
+                return self._delivered(hop, stream, deadline)
+            answer = parser.read_head(stream, deadline, response=True)
+            result = meaning(status, answer.headers, self.settings.columns)
+            wait = result.told_wait
+            if status not in (204, 304):
+                parser.read_body(stream, answer, deadline, response=True)
+            if len(stream.unread) and result.outcome in NEVER_RAN and not _again(stream, answer):
+                raise parser.BadMessage("noise behind it, or a length that is too short")
+        except Closed:
+            stream.close()
+            return Result(Outcome.RESET, wait, note="answer broke off")
+        except (Late, parser.BadMessage):
+            stream.close()
+            return Result(Outcome.ERROR, wait, note="spoilt answer")
+        self._finish(hop, stream, answer)
         return result
 
-    def _read_out(self, hop: NextHop, stream: Stream, answer: parser.Head, deadline: int) -> None:
-        """The body means nothing, but has to be read before the connection can be used again."""
+    def _delivered(self, hop: NextHop, stream: Stream, deadline: int) -> Result:
+        """A first line with 200 has come: whatever its head tells, if that is there and can be read."""
+        try:
+            answer = parser.head(stream.unread, response=True)
+            length = parser.body_length(answer) if answer is not None else None
+        except parser.BadMessage:
+            stream.close()
+            return Result(Outcome.OK)
+        if answer is None:
+            self.loop.spawn(self._read_out, hop, stream, deadline)
+            return Result(Outcome.OK)
+        if length is not None and 0 <= length <= len(stream.unread) - answer.size:
+            stream.consume(answer.size + length)
+            self._finish(hop, stream, answer)
+        else:
+            self.loop.spawn(self._read_out, hop, stream, deadline)
+        return meaning(200, answer.headers, self.settings.columns)
+
+    def _read_out(self, hop: NextHop, stream: Stream, deadline: int) -> None:
+        """The rest of a 200 means nothing, but has to be read before the connection can be used again."""
         try:
+            answer = parser.read_head(stream, deadline, response=True)
             parser.read_body(stream, answer, deadline, response=True)
-            told = parser.body_length(answer) != -1
         except (Closed, Late, parser.BadMessage):
             stream.close()
             return
-        self._finish(hop, stream, answer.keeps and told)
+        self._finish(hop, stream, answer)
 
-    def _finish(self, hop: NextHop, stream: Stream, keeps: bool) -> None:
-        if keeps and not stream.unread:
+    def _finish(self, hop: NextHop, stream: Stream, answer: parser.Head) -> None:
+        """Keep the connection if its answer had a told end and nothing came behind it."""
+        told = answer.status in (204, 304) or parser.body_length(answer) != -1
+        if told and answer.keeps and stream.quiet():
             self._keep(hop, stream)
         else:
             stream.close()
@@ -135,12 +187,13 @@
             self._idle[oldest].pop(0)[0].close()
 
     def _reuse(self, hop: NextHop) -> Stream | None:
-        """The idle connection used last, unless its end shows."""
+        """The idle connection used last that is still quiet."""
         idle = self._idle.get((hop.endpoint.id, hop.address), [])
         while idle:
             stream, since = idle.pop()
             # A request on a connection that the other side has dropped would end as a reset.
-            if self.loop.now - since < self._idle_span and not stream.ended():
+            # What comes on an idle connection, its end or noise, belongs to no call.
+            if self.loop.now - since < self._idle_span and stream.quiet():
                 self.reused += 1
                 return stream
             stream.close()
@@ -158,7 +211,7 @@
             for key, idle in list(self._idle.items()):
                 kept = []
                 for stream, since in idle:
-                    if self.loop.now - since < self._idle_span and not stream.ended():
+                    if self.loop.now - since < self._idle_span and stream.quiet():
                         kept.append((stream, since))
                     else:
                         stream.close()
--- a/kestrelspar/http/parser.py
+++ b/kestrelspar/http/parser.py
@@ -41,6 +41,20 @@
         return int(self.first[1])
 
 
+def status(data: memoryview) -> int | None:
+    """The status in a response's first line, or nothing while that line is not all there."""
+    line, end, _ = bytes(data[:MOST_HEAD]).partition(b"\n")
+    if not end:
+        if len(data) >= MOST_HEAD:
+            raise BadMessage("status line too long")
+        return None
+    parts = line.rstrip(b"\r").split(b" ", 2)
+    if parts[0] not in (b"HTTP/1.1", b"HTTP/1.0") or len(parts) < 2 or not (len(parts[1]) == 3
+                                                                         and parts[1].isdigit()):
+        raise BadMessage("bad status line")
+    return int(parts[1])
+
+
 def head(data: memoryview, response: bool = False) -> Head | None:
     """The head at the start of the data, or nothing while it is not all there."""
     text = bytes(data[:MOST_HEAD])
@@ -92,14 +106,6 @@
     return int(length)
 
 
-def body_told(parsed: Head) -> int | None:
-    """As ``body_length``, but a length that will not do reads as not told."""
-    try:
-        return body_length(parsed)
-    except BadMessage:
-        return -1
-
-
 class Chunks:
     """A chunked body: takes bytes cut anywhere, gives its data."""
 
--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -600,6 +600,9 @@
             dest.inflight -= 1
             self.inflight -= 1
         route.heard = self.now
+        if event.wait_ns:  # heeded whatever else came with it: a spoilt answer may have told it in earnest
+            barred = dest if not dest.apart else route
+            barred.wait_until = max(barred.wait_until, self.now + event.wait_ns)
         if outcome is Outcome.REJECTED:  # of the message, not of the route: nobody need try it again
             if not message.done and not event.closed:
                 self.actions.append(api.Fail(message.id))
@@ -682,8 +685,6 @@
             if limit.fulls == 1:
                 limit.full_since = self.now
             rest = event.wait_ns
-            barred = route.dest if rest and not route.dest.apart else route
-            barred.wait_until = max(barred.wait_until, self.now + rest)
             # Many are told the same end of a wait: they spread. Without reports the next call must tell much.
             least = self.shut_after if left is None else REST_FIRST
             spread = self.random.random() * limit.gap if rest else max(least, limit.gap)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -207,7 +207,8 @@
     assert (seconds("0.4504"), seconds("2"), seconds("nan"), seconds("-1"), seconds("x")) == (
         450_400, 2 * SECOND, 0, 0, 0)
     assert load_report("TEXT x0=0.4, x1=25", ("x0", "x1")) == (0.4, 25.0)
-    assert load_report("TEXT x1=25", ("x0", "x1")) == (0.0, 25.0)
+    for text in ("TEXT x1=25", "TEXT x0=nan, x1=25", "TEXT x0=1, x1=inf", "TEXT x0=1, x1=-2", "", "\x7f=,"):
+        assert load_report(text, ("x0", "x1")) == ()  # zeros would say that there is no limit
 
 
 @pytest.mark.parametrize(("status", "headers", "outcome", "wait", "closed"), [
@@ -322,11 +323,63 @@
     stage.peer.script = lambda *_: b"HTTP/1.1 2"
     assert attempt(stage) is Outcome.RESET
     stage.peer.script = lambda *_: b"garbage\r\n\r\n"
-    assert attempt(stage) is Outcome.RESET
+    assert attempt(stage) is Outcome.ERROR
     stage.peer.listener.close()
     assert attempt(stage) is Outcome.CONNECT_FAILED
 
 
+def raw(status: int, *lines: str, body: bytes = b"") -> bytes:
+    return "\r\n".join([f"HTTP/1.1 {status} X", *lines, "", ""]).encode() + body
+
+
+@pytest.mark.parametrize(("answer", "outcome"), [
+    (b"\0\x91noise, and an end", Outcome.RESET), (b"HTTP/1.1 2x0 OK\r\n\r\n", Outcome.ERROR),
+    (raw(503, "Content-Length: -4"), Outcome.ERROR),
+    (raw(503, "Content-Length: 9", body=b"x"), Outcome.ERROR),
+    (raw(429, "Content-Length: 3000000000", body=b"x" * 99), Outcome.ERROR),
+    (raw(504, "no colon"), Outcome.ERROR),
+    (raw(410, "Content-Length: 1", "Content-Length: 2"), Outcome.ERROR),
+    (raw(503, "Transfer-Encoding: chunked", body=b"zz\r\n"), Outcome.ERROR),
+    (raw(429, "Content-Length: 2", body=b"four"), Outcome.ERROR),  # too short a length, or noise behind
+    (b"HTTP/1.1 503 X\r\nRetry-After: 1\r\nX-Head", Outcome.RESET),
+    (raw(503, "Content-Length: 2", body=b"ok"), Outcome.FULL),
+    (raw(503, "Content-Length: 0") * 2, Outcome.FULL),
+    (raw(100) + raw(102, "A: b") + raw(503, "Content-Length: 0"), Outcome.FULL),
+    (raw(200, "Content-Length: x"), Outcome.OK), (b"HTTP/1.1 200 OK\r\nnever ends", Outcome.OK),
+    (raw(200, "Content-Length: 3000000000", body=b"x" * 99), Outcome.OK),
+    (raw(200, "Content-Length: 0", body=b"noise"), Outcome.OK), (raw(200, "Content-Length: 9"), Outcome.OK),
+])
+def test_only_a_whole_answer_says_that_a_call_never_ran(tmp_path: Path, answer: bytes,
+                                                        outcome: Outcome) -> None:
+    # Guards against a payment that runs twice, and against noise that is read as the next call's answer.
+    stage = Stage(tmp_path, lambda *_: answer)
+    assert attempt(stage, span=5 * SECOND) is outcome
+    stage.peer.script = lambda *_: parser.response(500)
+    stage.wait(1_100 * MS)
+    assert attempt(stage) is Outcome.ERROR
+    whole = answer in (raw(503, "Content-Length: 2", body=b"ok"),) or b"102" in answer
+    assert stage.peer.connections == (1 if whole else 2)
+
+
+def test_a_payment_on_a_spoilt_refusal_is_failed_and_the_wait_it_told_heeded(tmp_path: Path) -> None:
+    stage = Stage(tmp_path, lambda *_: raw(429, "Retry-After: 0.8", "Content-Length: 1"))
+    stage.talk(hand_in("p", "payment"))
+    stage.until(lambda: not stage.journal.entries)
+    assert stage.notices_seen() == [{"id": "p", "state": "failed"}] and len(stage.peer.seen) == 1
+    now = stage.loop.now * 1000
+    assert not stage.courier._controller.may_still_go(now, b"s-1")
+    assert stage.courier._controller.may_still_go(now + 900 * MS * 1000, b"s-1")
+
+
+def test_what_comes_on_an_idle_connection_ends_it(tmp_path: Path) -> None:
+    # Guards against a second copy of an answer that is read as the next call's.
+    stage = Stage(tmp_path, lambda *_: parser.response(200))
+    assert attempt(stage) is Outcome.OK
+    stage.peer.streams[-1].sock.send(parser.response(200))
+    stage.peer.script = lambda *_: parser.response(500)
+    assert attempt(stage) is Outcome.ERROR and stage.peer.connections == 2
+
+
 def test_idle_connections_are_closed_in_time_and_dead_ones_not_used(tmp_path: Path) -> None:
     stage = Stage(tmp_path, lambda *_: parser.response(200))
     for span, connections in ((0, 1), (4_000 * MS, 1), (4_500 * MS, 2)):
