Bad clients give way to usual ones; an open id is rejected; buffers follow the memory limit

Seen by reading, confirmed by tests that fail without it: a silent connection was kept for good and half a request for 5 s; at the cap the one idle longest was closed, whoever it was, and else the newcomer unread; one connection was accepted a turn, so hundreds of silent ones held up the usual; an id already open was taken on again (a second copy out); bytes behind a body were read as the next request, and the body, its length being wrong, was taken on; after a rejection 200 ms of a huge body were read and the connection reset; 480 buffers of 72 KiB stood whatever limits.memory_mb said, and an empty pool made Late of an answer that had come (buffers.Stream.fill). Now: 2.1 s of silence or 2.7 s for a first request; who gives way first is the least loss (turned away, never asked, half a request, idle); what still comes after a rejection is thrown away in the system (MSG_TRUNC) for up to 5.5 s; buffers of 16 KiB, an eighth of the memory at most, the last ones kept for answers; repeated log lines are counted, not repeated. An SMPP PDU longer than a buffer is gathered by its session. A deadline is at most the class's.

--- a/kestrelspar/__main__.py
+++ b/kestrelspar/__main__.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 from kestrelspar import config
-from kestrelspar.buffers import BufferPool
+from kestrelspar.buffers import SIZE, BufferPool
 from kestrelspar.courier import Courier
 from kestrelspar.http.nexthop import NextHops
 from kestrelspar.http.notices import Notices
@@ -24,8 +24,9 @@
 from kestrelspar.smpp.client import Gateways
 from kestrelspar.smpp.server import SmppServer
 
+BUFFERS_PART = 8  # of the memory, one in so many bytes goes to read buffers at most
 DEPLOY = f"{Path(__file__).parent.parent}/deploy/"
-LATER = ("name", "listen", "state", "sockets", "disk_bytes", "settings")  # of the configuration: read once
+LATER = ("name", "listen", "state", "sockets", "memory", "disk_bytes", "settings")  # read at the start only
 
 
 def _ear() -> socket.socket:
@@ -71,6 +72,12 @@
         notices.move(fresh.discovery)
 
 
+def _buffers(told: config.Config) -> tuple[int, int]:
+    """How many read buffers there may be, and how many of them are kept for the answers to our own calls."""
+    most = max(32, told.memory // BUFFERS_PART // SIZE)
+    return most, min(most // 2, told.settings.slots + 16)
+
+
 def main() -> int:
     """Serve; exit code 0 after SIGTERM, 2 for a configuration that will not do."""
     environment = os.environ
@@ -79,7 +86,8 @@
         told = config.read(environment)
         smpp = config.read_smpp(environment.get("KESTRELSPAR_SMPP", DEPLOY + "smpp.json"), told.settings)
         rules = config.read_plugins(environment.get("KESTRELSPAR_PLUGINS", DEPLOY + "plugins.json"))
-        loop, buffers = Loop(), BufferPool()
+        loop = Loop()
+        buffers = BufferPool(*_buffers(told))
         own = NextHops(loop, buffers, told.settings, told.sockets // 8)  # to next hops of the operators' own
         own_hops = []
         if "KESTRELSPAR_MAP" in environment:
@@ -99,7 +107,8 @@
     notices = Notices(loop, buffers, told.discovery)
     courier.senders[notices.name] = notices
     # Descriptors: idle connections to next hops, calls out, and for discovery, notices, listeners and files.
-    kept = told.sockets // 4 + told.sockets // 8 + told.settings.slots + max(32, told.sockets // 16)
+    kept = told.sockets // 4 + told.settings.slots + max(32, told.sockets // 16)
+    kept += told.sockets // 8 if own_hops else 0
     if smpp is not None and smpp_listener is not None:
         kept += smpp.most_sessions + len(smpp.gateways) + 1
         gateways = Gateways(loop, buffers, told.settings, smpp.gateways)
@@ -127,7 +136,8 @@
     loop.spawn(server.accept, listener)
     courier.ready = True
     log(f"{told.name} serves on {told.listen[0]}:{told.listen[1]}, {len(courier.hops)} next hops known, "
-        f"{told.settings.slots} slots, {told.settings.max_open} messages at most")
+        f"{told.settings.slots} slots, {told.settings.max_open} messages, {told.sockets} descriptors, "
+        f"{told.memory // 1_000_000} MB at most")
     gc.freeze()
     loop.run()
     return 0
--- a/kestrelspar/buffers.py
+++ b/kestrelspar/buffers.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import mmap
 import socket
 
-from kestrelspar.loop import Loop
+from kestrelspar.loop import MS, Loop
 
-SIZE = 72 * 1024  # a head of 8 KiB and a body of 64 KiB: a whole message always fits one buffer
+SIZE = 16 * 1024  # a head of 8 KiB always fits, and nearly every message; longer bodies are read in pieces
+AGAIN = 5 * MS  # when all buffers are in use: until one is looked for again
+
+
+_WASTE = mmap.mmap(-1, 512 * 1024)  # never written to: MSG_TRUNC makes the system throw bytes away
 
 
 class Closed(Exception):
@@ -18,14 +23,20 @@
 
 
 class BufferPool:
-    """Buffers of ``SIZE`` bytes; at most ``most`` exist, so that memory stays bounded."""
+    """Buffers of ``SIZE`` bytes; at most ``most`` exist, so that memory stays bounded.
 
-    def __init__(self, most: int = 480) -> None:
+    The last ``kept`` are not for guests, whose number and manners we don't choose: the answers to our own
+    calls must always find room.
+    """
+
+    def __init__(self, most: int = 256, kept: int = 0) -> None:
         self._free: list[bytearray] = []
-        self._made, self._most = 0, most
+        self._made, self._most, self._kept = 0, most, kept
 
-    def take(self) -> bytearray | None:
-        """A buffer, or nothing when all are in use."""
+    def take(self, guest: bool = False) -> bytearray | None:
+        """A buffer, or nothing when all that this taker may have are in use."""
+        if guest and len(self._free) + self._most - self._made <= self._kept:
+            return None
         if self._free:
             return self._free.pop()
         if self._made >= self._most:
@@ -41,8 +52,8 @@
 class Stream:
     """A connection's bytes: read into one pooled buffer, held only while something unread is in it."""
 
-    def __init__(self, loop: Loop, sock: socket.socket, pool: BufferPool) -> None:
-        self.loop, self.sock, self.pool = loop, sock, pool
+    def __init__(self, loop: Loop, sock: socket.socket, pool: BufferPool, guest: bool = False) -> None:
+        self.loop, self.sock, self.pool, self._guest = loop, sock, pool, guest
         self._buffer: bytearray | None = None
         self._start = self._end = 0
 
@@ -60,13 +71,15 @@
             self._buffer = None
 
     def fill(self, deadline: int | None) -> None:
-        """Wait for more bytes. ``Closed``: the input ended; ``Late``: time is up, or no buffer is left."""
+        """Wait for more bytes. ``Closed``: the input ended; ``Late``: time is up."""
         if not self.loop.readable(self.sock, deadline):
             raise Late
-        if self._buffer is None:
-            self._buffer = self.pool.take()
+        while self._buffer is None:
+            self._buffer = self.pool.take(self._guest)
             if self._buffer is None:
-                raise Late
+                if deadline is not None and self.loop.now >= deadline:
+                    raise Late
+                self.loop.sleep(AGAIN)
         if self._start and self._end == SIZE:
             rest = self._buffer[self._start : self._end]
             self._buffer[: len(rest)] = rest
@@ -98,6 +111,19 @@
             except OSError as error:
                 raise Closed from error
 
+    def discard(self, deadline: int) -> None:
+        """Wait for more bytes and let go of all that is here, without a copy or a buffer of the pool."""
+        self.consume(self._end - self._start)
+        if not self.loop.readable(self.sock, deadline):
+            raise Late
+        try:
+            if not self.sock.recv_into(_WASTE, 0, socket.MSG_TRUNC):
+                raise Closed
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            raise Closed from error
+
     def ended(self) -> bool:
         """Whether the peer has ended or broken the connection, as far as is known here, without reading."""
         try:
--- a/kestrelspar/config.py
+++ b/kestrelspar/config.py
@@ -97,6 +97,7 @@
     state: str
     seed: int
     sockets: int
+    memory: int
     disk_bytes: int
     known: dict[str, Any]
     settings: api.Settings
@@ -153,6 +154,7 @@
         state=top.get("state", _folder),
         seed=top.get("seed", _seed, 1),
         sockets=int(limits.get("sockets", _positive, 1024)),
+        memory=int(limits.get("memory_mb", _positive, 64.0) * 1_000_000),
         disk_bytes=int(limits.get("disk_mb", _positive, 3.0) * 1_000_000),
         known=top.get("known", _object, {}),
         settings=settings.read(top.get("settings", _object)),
--- a/kestrelspar/courier.py
+++ b/kestrelspar/courier.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import traceback
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -26,6 +27,7 @@
 NO_NEW_ATTEMPTS = 2_200 * MS  # after SIGTERM: what starts later might not come back in time
 LEAVE_AT = 3_500 * MS  # after SIGTERM: SIGKILL may come at 3.7 s
 COME_BACK = 1_000 * MS  # to a client deferred at the door
+KNOWN_FOR = 15 * SECOND  # an ended message's id is not taken on again for so long
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.REJECTED)
 
 DELIVERED, FAILED, RETURNED = "delivered", "failed", "returned"
@@ -54,6 +56,7 @@
     FULL = "holds as many messages as it may"
     DISK = "journal full"
     UNKNOWN_DEST = "unknown destination"
+    DUPLICATE = "this id was handed in before"
     PLUGIN = "plug-in"
 
 
@@ -159,6 +162,8 @@
         self._events: list[api.Event] = []
         self._desks: dict[int, Parking] = {}  # messages whose task waits for the module's next word
         self.open: dict[int, Message] = {}
+        self._known: set[str] = set()  # ids of open messages, and for a while of ended ones
+        self._ended: deque[tuple[int, str]] = deque()  # the latter, and since when
         self.out = 0  # delivery attempts under way
         self._last = max(journal.entries, default=0)
         loop.at_turn_end.append(self._decide)
@@ -183,6 +188,7 @@
             answer(Answer(False, True, Reason.DISK))
             return
         self.open[message.number] = message
+        self._known.add(message.trace)
         if not answer(TAKEN_ON):  # it went away unanswered and may hand it in elsewhere: not ours
             self._over(message)
             return
@@ -251,12 +257,17 @@
     def _over(self, message: Message) -> None:
         """Nothing is owed for it any more."""
         self.open.pop(message.number, None)
+        self._ended.append((self.loop.now, message.trace))
         self.journal.done(message.number)
 
     def _door(self, message: Message) -> Answer | None:
         """Why the message can't be taken on now, if so."""
         if self.closing is not None:
             return Answer(False, True, Reason.CLOSING)
+        while self._ended and self._ended[0][0] < self.loop.now - KNOWN_FOR:
+            self._known.discard(self._ended.popleft()[1])
+        if message.trace in self._known:  # a second message under the id would go out as a second copy
+            return Answer(False, False, Reason.DUPLICATE)
         for hook in self.hooks:
             verdict = hook.arrival(message)
             if verdict is not None:
@@ -287,6 +298,7 @@
             except (KeyError, ValueError, TypeError, StopIteration) as error:
                 log(f"journal: message {entry.number} can't be taken up: {error!r}")
                 continue
+            self._known.add(message.trace)
             log(f"taken up {message.trace}: {entry.attempts} attempts, "
                 f"{'may have run' if entry.maybe_since is not None else 'never ran'}"
                 f"{', ' + entry.verdict if entry.verdict else ''}")
--- a/kestrelspar/http/parser.py
+++ b/kestrelspar/http/parser.py
@@ -9,6 +9,7 @@
 MOST_HEAD = 8 * 1024
 MOST_BODY = 64 * 1024
 MOST_HEADERS = 100
+_METHODS = (b"GET /", b"POST /", b"PUT /", b"HEAD /", b"DELETE /", b"PATCH /", b"OPTIONS ")
 _TOKEN = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
 
 
@@ -106,6 +107,12 @@
     return int(length)
 
 
+def begins(data: memoryview) -> bool:
+    """Whether a request may begin with this; also true of nothing at all."""
+    text = bytes(data[:8])
+    return any(text.startswith(method) or method.startswith(text) for method in _METHODS)
+
+
 class Chunks:
     """A chunked body: takes bytes cut anywhere, gives its data."""
 
--- a/kestrelspar/http/sender.py
+++ b/kestrelspar/http/sender.py
@@ -6,15 +6,22 @@
 import re
 import socket
 from collections.abc import Iterator
+from enum import Enum
 
 import ujson
 
 from kestrelspar.buffers import BufferPool, Closed, Late, Stream
-from kestrelspar.courier import Answer, Courier, Message, SenderSide
+from kestrelspar.courier import Answer, Courier, Message, Reason, SenderSide
 from kestrelspar.http import parser
 from kestrelspar.loop import MS, SECOND, Loop, Parking, log
 
-READ_WITHIN = 5 * SECOND  # from a request's first byte to its last
+SILENT = 2_100 * MS  # without a request: usual clients open another connection when they need it
+READ_WITHIN = 2_500 * MS  # from a request's first byte to its last
+FIRST_WITHIN = 2_700 * MS  # the first one, from the connection's beginning
+LEAVE_WITHIN = 5_500 * MS  # from its beginning: so long a rejected client may still send
+PAUSE = 300 * MS  # or until it pauses
+ACCEPTS = 32  # connections taken in one turn
+REJECTIONS = {Reason.DUPLICATE: 409}
 WRITE_WITHIN = 400 * MS  # a client waits so long for its answer
 _EXPIRES = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
 _DEST = re.compile(r"(?:^|[;,\s])dest=([0-9]{1,9})(?:$|[;,\s])")
@@ -28,6 +35,28 @@
     return math.floor(float(match[1]) * (MS if match[2] == "m" else 1))
 
 
+class State(Enum):
+    """What a client's connection is doing; the order in which they give way when there are too many."""
+
+    LEAVING = "turned away, and reading on until it has heard"
+    NEW = "has asked nothing yet"
+    ASKING = "in the middle of a request"
+    IDLE = "between requests"
+    SERVED = "waits for our answer"
+
+
+SPARED = {State.LEAVING: 100 * MS, State.NEW: 50 * MS, State.ASKING: 300 * MS, State.IDLE: 0}
+
+
+class Client:
+    """One client's connection."""
+
+    __slots__ = ("stream", "since", "state")
+
+    def __init__(self, stream: Stream, since: int) -> None:
+        self.stream, self.since, self.state = stream, since, State.NEW
+
+
 class SenderServer:
     """Accepts clients' connections; each has a task that reads requests and answers them."""
 
@@ -35,74 +64,104 @@
                  most: int) -> None:
         self.loop, self.buffers, self.courier, self.sender = loop, buffers, courier, sender
         self._most = most  # connections held at once
-        self._idle: dict[Stream, None] = {}  # between requests, the longest first
-        self._count = 0
+        self._clients: dict[State, dict[Client, int]] = {state: {} for state in State}  # since when, in order
+        self._tallies: dict[str, int] = {}
+
+    @property
+    def count(self) -> int:
+        """Connections held."""
+        return sum(map(len, self._clients.values()))
 
     def accept(self, listener: socket.socket) -> None:
         """Take connections for as long as the process runs."""
         while True:
             self.loop.readable(listener, None)
-            try:
-                sock, _ = listener.accept()
-            except BlockingIOError:
-                continue
-            except OSError as error:
-                log(f"connection not accepted: {error}")
-                self.loop.sleep(20 * MS)
-                continue
-            if self._count >= self._most and not self._make_room():
-                log("too many client connections: one closed unread")
-                sock.close()
-                continue
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._count += 1
-            self.loop.spawn(self._serve, Stream(self.loop, sock, self.buffers))
+            for _ in range(ACCEPTS):  # one a turn would let those who say nothing hold up all others
+                try:
+                    sock, _ = listener.accept()
+                except BlockingIOError:
+                    break
+                except OSError as error:
+                    log(f"connection not accepted: {error}")
+                    self.loop.sleep(20 * MS)
+                    break
+                while self.count >= self._most and not self._make_room():
+                    self.loop.sleep(5 * MS)  # it and those behind it wait for one that gives way
+                sock.setblocking(False)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                client = Client(Stream(self.loop, sock, self.buffers, guest=True), self.loop.now)
+                self._clients[State.NEW][client] = client.since
+                self.loop.spawn(self._serve, client)
+
+    def _is(self, client: Client, state: State) -> None:
+        """The connection goes on to another state, unless it was made to give way meanwhile."""
+        if self._clients[client.state].pop(client, None) is None:
+            raise Closed
+        client.state = state
+        self._clients[state][client] = self.loop.now
 
     def _make_room(self) -> bool:
-        """Close the connection that has been idle longest, unless a request has just come on it."""
-        for stream in list(self._idle):
-            del self._idle[stream]
-            if not self.loop_readable_now(stream):
-                stream.close()
+        """Close the connection whose loss does least harm; none on which a request has come or is served."""
+        for state, spared in SPARED.items():
+            for client, since in self._clients[state].items():
+                if since > self.loop.now - spared:
+                    break
+                if state in (State.NEW, State.IDLE) and not client.stream.quiet():
+                    continue
+                del self._clients[state][client]
+                self._tally(f"connection closed to make room: {state.value}")
+                client.stream.close()
                 return True
         return False
 
-    @staticmethod
-    def loop_readable_now(stream: Stream) -> bool:
-        """Whether unread bytes are there, so that closing would lose a request."""
-        try:
-            return stream.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
-        except OSError:
-            return False
+    def _tally(self, what: str) -> None:
+        """Log what bad clients make happen often: the first at once, the others as a count each second."""
+        if what in self._tallies or len(self._tallies) >= 20:
+            self._tallies[what if what in self._tallies else "other"] = self._tallies.get(what, 0) + 1
+            return
+        log(what)
+        if not self._tallies:
+            self.loop.at(self.loop.now + SECOND, self._report)
+        self._tallies[what] = 0
+
+    def _report(self) -> None:
+        for what, count in self._tallies.items():
+            if count:
+                log(f"{count} times more: {what}")
+        self._tallies.clear()
 
-    def _serve(self, stream: Stream) -> None:
-        """One connection: requests in turn, until a side ends it."""
-        keep = True
+    def _serve(self, client: Client) -> None:
+        """One connection: requests in turn, until a side ends it or says nothing for too long."""
+        stream, keep = client.stream, True
         try:
             while keep:
-                if not stream.unread:
-                    self._idle[stream] = None
-                    stream.fill(None)
-                    self._idle.pop(stream, None)
-                    if not stream.unread:
-                        continue
-                keep = self._request(stream)
+                silent = client.since + SILENT if client.state is State.NEW else self.loop.now + SILENT
+                while not stream.unread:
+                    stream.fill(silent)
+                keep = self._request(client)
+                if keep:
+                    self._is(client, State.IDLE)
         except (Closed, Late):
             pass
         finally:
-            self._idle.pop(stream, None)
-            self._count -= 1
+            self._clients[client.state].pop(client, None)
             stream.close()
 
-    def _request(self, stream: Stream) -> bool:
+    def _request(self, client: Client) -> bool:
         """Read one request and answer it; whether the connection goes on."""
-        deadline = self.loop.now + READ_WITHIN
+        stream, deadline = client.stream, self.loop.now + READ_WITHIN
+        if client.state is State.NEW:
+            deadline = client.since + FIRST_WITHIN
+        self._is(client, State.ASKING)
         try:
             head = parser.read_head(stream, deadline)
+            parser.body_length(head)
             if head.headers.get("expect", "").lower() == "100-continue":
                 stream.write(b"HTTP/1.1 100 Continue\r\n\r\n", deadline)
             body = parser.read_body(stream, head, deadline)
+            if not parser.begins(stream.unread):  # its length is wrong, so its body may be cut
+                raise parser.BadMessage("bytes behind the body that begin no request")
+            self._is(client, State.SERVED)
             method, target, _ = head.first
             path = target.partition("?")[0]
             keep = head.keeps and self.courier.closing is None
@@ -114,11 +173,13 @@
             message = self._message(path, head, body)
         except parser.BadMessage as error:
             # Where the next request starts is not known any more, except after a whole one.
-            log(f"request rejected: {error}")
-            stream.write(parser.response(error.status, f"{error}\n".encode(), keep=False), deadline)
-            self._linger(stream)
+            self._tally(f"request rejected: {error}")
+            stream.write(parser.response(error.status, f"{error}\n".encode(), keep=False),
+                         self.loop.now + WRITE_WITHIN)
+            self._linger(client)
             return False
         except Late:
+            self._tally("request rejected: it did not come to its end")
             stream.write(parser.response(408, keep=False), self.loop.now + WRITE_WITHIN)
             return False
         answered = Parking(self.loop)
@@ -139,9 +200,9 @@
                     stream.write(parser.response(503, keep=keep, headers=wait), self.loop.now + WRITE_WITHIN)
                     log(f"deferred {message.trace}: {'client gone' if given.taken else given.reason}")
                 else:
-                    log(f"rejected {message.trace}: {given.reason}")
-                    stream.write(parser.response(422, f"{given.reason}\n".encode(), keep=keep),
-                                 self.loop.now + WRITE_WITHIN)
+                    self._tally(f"rejected {message.trace}: {given.reason}")
+                    stream.write(parser.response(REJECTIONS.get(given.why, 422), f"{given.reason}\n".encode(),
+                                                 keep=keep), self.loop.now + WRITE_WITHIN)
             except (Closed, Late):
                 answered.resume(False)
                 return False
@@ -153,14 +214,14 @@
         finally:
             answered.resume(False)
 
-    def _linger(self, stream: Stream) -> None:
-        """Read on for a moment after a rejection, else the reset might overtake the answer."""
-        until = self.loop.now + 200 * MS
+    def _linger(self, client: Client) -> None:
+        """Throw away what still comes after a rejection, else the reset might overtake the answer."""
+        stream = client.stream
+        self._is(client, State.LEAVING)
         try:
             stream.sock.shutdown(socket.SHUT_WR)
-            while True:
-                stream.consume(len(stream.unread))
-                stream.fill(until)
+            while self.loop.now < client.since + LEAVE_WITHIN:
+                stream.discard(self.loop.now + PAUSE)
         except (Closed, Late, OSError):
             pass
 
@@ -185,7 +246,8 @@
         if dest is None:
             raise parser.BadMessage("X-Route-To holds no dest")
         key = headers.get("idempotency-key", "")
-        deadline = self.loop.now + expires(headers.get("x-expires-in", ""))
+        left = min(expires(headers.get("x-expires-in", "")), settings.classes[cls].deadline_ns // 1000)
+        deadline = self.loop.now + left
         return Message(trace, cls, tenant, int(dest[1]), deadline, body, self.sender, key)
 
     @staticmethod
@@ -199,6 +261,6 @@
         if path == "/health/live":
             return parser.response(200, keep=keep)
         if path == "/stats":
-            figures = {"open": len(self.courier.open), "out": self.courier.out, "connections": self._count}
+            figures = {"open": len(self.courier.open), "out": self.courier.out, "connections": self.count}
             return parser.response(200, ujson.dumps(figures).encode() + b"\n", keep=keep)
         return parser.response(404, keep=keep)
--- a/kestrelspar/smpp/pdu.py
+++ b/kestrelspar/smpp/pdu.py
@@ -145,7 +145,7 @@
     return HEADER.pack(HEADER.size + len(body), pdu.command, pdu.status, pdu.sequence) + body
 
 
-def whole(data: memoryview) -> int:
+def whole(data: memoryview | bytearray) -> int:
     """The size of the PDU at the start of the data, or 0 while it is not all there."""
     if len(data) < 4:
         return 0
--- a/kestrelspar/smpp/session.py
+++ b/kestrelspar/smpp/session.py
@@ -38,13 +38,16 @@
     def run(self, handle: Callable[[Pdu], None]) -> None:
         """Read until the session ends. ``handle`` gets the requests; it must not wait."""
         self.loop.spawn(self._beat)
+        rest = bytearray()  # a PDU may be longer than a buffer
         try:
             while not self.closed:
-                if not (size := p.whole(self.stream.unread)):
+                if not (size := p.whole(rest)):
                     self.stream.fill(None)
+                    rest += self.stream.unread
+                    self.stream.consume(len(self.stream.unread))
                     continue
-                data = bytes(self.stream.unread[:size])
-                self.stream.consume(size)
+                data = bytes(rest[:size])
+                del rest[:size]
                 self.heard = self.loop.now
                 try:
                     self._take(p.decode(data), handle)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -232,6 +232,7 @@
     (hand_in(X_Route_To="dest=99"), 422), (hand_in(X_Expires_In="soon"), 400), (hand_in(X_Trace_Id=""), 400),
     (b"POST /reading HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 413),
     (b"POST /reading HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+    (hand_in() + b"and more", 400), (hand_in(Content_Length="3"), 400),
     (b"GET /health/ready HTTP/1.1\r\n\r\n", 200), (b"GET /nowhere HTTP/1.1\r\n\r\n", 404),
 ])
 def test_bad_requests_get_a_status_and_nothing_is_kept(tmp_path: Path, request_: bytes, status: int) -> None:
@@ -275,10 +276,71 @@
     sock = socket.create_connection(stage.address)
     sock.sendall(hand_in())
     sock.close()
-    stage.until(lambda: stage.server._count == 0 and stage.courier._last == 1)
+    stage.until(lambda: stage.server.count == 0 and stage.courier._last == 1)
     assert not stage.journal.entries and not stage.courier.open and not stage.peer.seen
 
 
+@pytest.mark.parametrize(("data", "answer"), [
+    (b"", b""), (b"POST /reading HTTP/1.1\r\nX-", b"HTTP/1.1 408 "),
+    (hand_in(body=b"x" * 90)[:-40], b"HTTP/1.1 408 ")])
+def test_who_says_nothing_or_half_a_request_is_let_go(tmp_path: Path, data: bytes, answer: bytes) -> None:
+    # Guards against connections that hold descriptors and buffers for good.
+    stage = Stage(tmp_path, ok)
+    skipped = CLOCK.ahead
+    assert stage.talk(data, until=lambda _: False).startswith(answer)
+    assert stage.server.count == 0 and not stage.journal.entries
+    assert CLOCK.ahead - skipped < 3 * SECOND
+
+
+def test_a_rejection_reaches_a_client_that_still_sends_a_huge_body(tmp_path: Path) -> None:
+    # Guards against a reset that overtakes the answer, and against reading the body into memory.
+    stage = Stage(tmp_path, ok)
+    head = b"POST /reading HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n"
+    got = stage.talk(head, *[b"x" * 60_000] * 50, until=lambda _: False)
+    assert got.startswith(b"HTTP/1.1 413 ") and stage.buffers._made <= 2
+
+
+def test_an_id_that_is_open_or_has_just_ended_is_not_taken_on_again(tmp_path: Path) -> None:
+    # Guards against a second copy out when a bad client uses the id of another's message.
+    stage = Stage(tmp_path, lambda *_: None)
+    assert b" 202 " in stage.talk(hand_in("a", "payment"))
+    assert b" 409 " in stage.talk(hand_in("a", "payment"))
+    stage.until(lambda: not stage.journal.entries)
+    assert b" 409 " in stage.talk(hand_in("a")) and len(stage.peer.seen) == 1
+    stage.wait(16 * SECOND)
+    assert b" 202 " in stage.talk(hand_in("a")) and len(stage.courier._known) == 1
+
+
+def test_silent_connections_give_way_to_a_usual_client(tmp_path: Path) -> None:
+    # Guards against clients that connect by hundreds and leave the usual ones no descriptor.
+    stage = Stage(tmp_path, ok)
+    silent = [socket.create_connection(stage.address) for _ in range(60)]
+    assert b" 202 " in stage.talk(hand_in()) and stage.server.count <= 20
+    assert sum(sock.recv(1) == b"" for sock in silent[:30]) == 30  # the oldest were closed
+    for sock in silent:
+        sock.close()
+
+
+def test_the_last_buffers_are_kept_for_the_answers_to_our_own_calls() -> None:
+    # Guards against half requests that hold all buffers, so that answers count as time-outs.
+    pool, loop = BufferPool(3, kept=1), SkippingLoop(CLOCK)
+    ours, theirs = socket.socketpair()
+    theirs.setblocking(False)
+    ours.send(b"answer")
+    assert [bool(pool.take(guest=True)) for _ in range(3)] == [True, True, False]
+    last, stream, got = pool.take(), Stream(loop, theirs, pool), []
+    loop.spawn(lambda: (stream.fill(None), got.append(bytes(stream.unread))))
+    loop.turn()
+    loop.turn()
+    assert last is not None and not got  # none left: it waits, and is not late
+    pool.give(last)
+    for _ in range(9):
+        loop.turn()
+    assert got == [b"answer"]
+    stream.close()
+    ours.close()
+
+
 def test_the_door_defers_what_would_be_too_many(tmp_path: Path) -> None:
     stage = Stage(tmp_path, lambda *_: None, max_open=3)
     got = [stage.talk(hand_in(f"t{i}", "payment")) for i in range(4)]
