In an outage few calls go to doubtful routes, time out sooner, and long queues rest

Slots: 11, calls of 40 ms. Traced (log of 28 to 40 s): every slot was held by calls to hanging routes, 2 s each (half the aim) and 6 s for payments; half the slots for one destination does not help when six hang. Each of the three tests was seen to fail without it.

--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -24,7 +24,11 @@
 SLOW_FACTOR = 3.0  # a route this much slower than the next one is passed over by new messages
 PATIENCE_SAFE, PATIENCE_LOSS = 3.0, 1.0  # a repeatable call's time-out in (mean + 3 deviations); lossy
 LOST_USUAL = 0.06  # beyond what heavy messages explain; at twice this the patience is shortest
+PATIENCE_LEAST, PATIENCE_KEYED = 5.0, 8.0  # a repeatable call's least time-out, in the same; a keyed one's
 PATIENCE_UNSAFE = 10.0  # an unsafe call's time-out loses the message, so wait much longer
+PATIENT_PART, HURRIED = 0.1, 8.0  # part of the slots that may wait so long; beyond it the time-out is this
+DOUBT_PART = 0.2  # part of the slots for calls to routes that are silent, failing or not back yet
+LOOK_AGAIN = 20 * MS  # at a route that can't be called until another one's call has ended
 CHANCE = 0.1  # failures in a row at least this likely by the usual share of failures are no outage yet
 FAILING_MOST = 0.45  # an outage of many raises the usual share: three failed connects are never chance
 FAILING_GAIN = 0.05  # weight of a call in the usual share of failures
@@ -87,6 +91,7 @@
                  slack: int):
         self.id, self.cls, self.dest, self.key = id, cls, dest, event.key
         self.deadline = now + event.time_left_ns
+        self.full_until = self.deadline - cls.deadline_ns + cls.aim_ns  # worth all until then
         self.late = self.deadline - slack  # its last moment to be answered, as batches come only each tick
         self.at: Route | None = None
         self.tries = self.attempts = self.waits = self.passes = self.not_before = 0
@@ -143,7 +148,7 @@
         self.lines: dict[int, deque[Message]] = {}  # ordered keys: messages not finished, in order
         self.key_rest: dict[int, int] = {}
         self.waiting: dict[int, Destination] = {}
-        self.inflight = 0
+        self.inflight = self.patient = 0  # calls out, and those of unsafe messages
         self.tenant_due: dict[int, int] = {}  # when a tenant's share has paid for its messages so far
         self.logs = 0
         self.log_pace = 0.0
@@ -184,8 +189,15 @@
         if len(self.messages) > HOLD_PART * self.s.max_open:
             self._shed()
         touched.update((dest.id, dest) for dest in self.waiting.values() if dest.wake <= self.now)
-        for dest in sorted(touched.values(), key=self._slot_time):  # slots go where they bring most
-            self._pump(dest)
+        ready = []
+        for dest in touched.values():
+            ready.append(dest) if dest.queue else self.waiting.pop(dest.id, None)
+        if self.inflight >= self.s.slots:  # nothing can go: whatever waits is looked at when a slot is free
+            for dest in ready:
+                self.waiting[dest.id], dest.wake = dest, self.now
+            return self.actions
+        for dest in sorted(ready, key=self._slot_time) if len(ready) > 1 else ready:
+            self._pump(dest)  # slots go where they bring most
         return self.actions
 
     def _slot_time(self, dest: Destination) -> float:
@@ -197,9 +209,11 @@
 
     def _worth(self, message: Message, at: int) -> float:
         """What the message brings if it is delivered then."""
+        if at <= message.full_until:
+            return message.weight
         cls = message.cls
         age = at - message.deadline + cls.deadline_ns
-        if age <= cls.aim_ns or cls.deadline_ns == cls.aim_ns:
+        if cls.deadline_ns == cls.aim_ns:
             return message.weight
         if self.s.decay is api.Decay.HALVES:
             return message.weight * max(cls.late_worth, math.exp2(1 - age / cls.aim_ns))
@@ -393,10 +407,23 @@
         opens = max(opens, route.limit.due - BURST)
         if route.limit.fulls and route.inflight:
             return max(opens, self.now + REST_FIRST)  # after a refusal, one call finds out
-        if route.down or route.bad or self._silent(route):
+        if self._doubtful(route):
             opens = max(opens, self._budget_opens(route))
+            if opens <= self.now:
+                # Many may hang at once: few calls find out, or they hold all slots until their time-outs.
+                stuck = sum(r.inflight for r in self.routes.values() if r.inflight and self._doubtful(r))
+                if self._silent(route) or stuck >= max(1.0, DOUBT_PART * self.s.slots):
+                    opens = self.now + LOOK_AGAIN
         return opens
 
+    def _doubtful(self, route: Route) -> bool:
+        """Whether a call there may well be lost."""
+        return route.down or route.bad > 0 or self._silent(route)
+
+    def _any_open(self, dest: Destination) -> bool:
+        """Whether any of its routes may take a call now."""
+        return any(self._opens(route) <= self.now for route in dest.routes)
+
     def _silent(self, route: Route) -> bool:
         """Calls are out and nothing has come back for long: hanging, until something does.
 
@@ -454,14 +481,17 @@
             return
         others = any(d is not dest and d.wake <= self.now for d in self.waiting.values())  # for a slot
         cap = self._cap(dest)
-        dest.queue.sort(key=lambda m: -self._worth(m, self.now))
         kept: list[Message] = []
         hopeless: list[Message] = []
         wake = NEVER
         opens: list[int] | None = None  # of its routes; worked out anew after each call
         calls: list[Call] = []  # opened in this reply: what else waits for their routes shares them
         bundle = self.s.bundles[dest.kind] if dest.kind < len(self.s.bundles) else 1
-        for message in dest.queue:
+        queue, free = dest.queue, self.s.slots - self.inflight
+        scarce = others or free <= max(1, self.s.slots // 8)
+        if len(queue) > 1 and (dest.inflight < cap or not scarce) and self._any_open(dest):
+            queue = sorted(queue, key=lambda m: -self._worth(m, self.now))
+        for place, message in enumerate(queue):
             if self.now >= message.window_end:
                 hopeless.append(message)  # no route may have it any more
                 continue
@@ -472,9 +502,12 @@
                 continue
             free = self.s.slots - self.inflight
             if free <= 0 or (dest.inflight >= cap and (others or free <= max(1, self.s.slots // 8))):
-                kept.append(message)
-                wake = min(wake, self.now)  # as soon as a slot is free
-                continue
+                wake = self.now  # as soon as a slot is free
+                if bundle > 1:
+                    kept.append(message)
+                    continue
+                kept += queue[place:]
+                break
             opens = opens or [max(self._opens(route), self.now) for route in dest.routes]
             soonest = min(opens, default=NEVER)
             if dest.routes and soonest > message.deadline and self._may_refuse(message):
@@ -557,6 +590,7 @@
         message.out[message.attempts] = call
         message.attempts += 1
         self.actions.append(api.Send(message.id, route.id, self._patience(message, route)))
+        self.patient += message.cls.safety is Safety.UNSAFE
         return call
 
     def _stale_share(self) -> float:
@@ -579,11 +613,14 @@
         if cls.safety is Safety.UNSAFE:
             factor = PATIENCE_UNSAFE - (PATIENCE_UNSAFE - PATIENCE_SAFE) * loss
             wanted = max(factor * usual, 2 * cls.aim_ns * (1 - loss), floor + usual)
+            if self.patient >= PATIENT_PART * self.s.slots:
+                wanted = min(wanted, HURRIED * usual)  # else calls that hang hold all slots for seconds
         else:
             factor = PATIENCE_SAFE - (PATIENCE_SAFE - PATIENCE_LOSS) * loss
-            wanted = max(factor * usual * 2 ** (min(message.waits, 6) * (1 - loss / 2)), cls.aim_ns / 2)
+            grown = factor * usual * 2 ** (min(message.waits, 6) * (1 - loss / 2))
+            wanted = max(grown, min(cls.aim_ns / 2, PATIENCE_LEAST * usual))
             if cls.safety is Safety.KEYED:
-                wanted = max(wanted, floor + usual)
+                wanted = max(wanted, min(PATIENCE_KEYED * usual, floor + usual))
         return min(left, int(wanted), route.patience)
 
     def _ended(self, event: api.AttemptEnded) -> Destination | None:
@@ -593,6 +630,7 @@
             return None
         call = message.out.pop(event.attempt)
         route, sent, dest = call.route, call.sent, call.route.dest
+        self.patient -= message.cls.safety is Safety.UNSAFE
         outcome = event.outcome
         call.open -= 1
         if not call.open:
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -71,6 +71,52 @@
     assert [s.endpoint for s in f.arrive(102)] == [route("b")]
 
 
+def test_routes_that_hang_leave_slots_to_those_that_serve() -> None:
+    # Guards against calls to several hanging destinations that hold every slot until their time-outs.
+    f = Forwarder(settings(message_class(aim_ns=4 * SECOND), message_class(Safety.UNSAFE, aim_ns=3 * SECOND),
+                           slots=10))
+    for destination in range(1, 6):
+        f.endpoints("abcde"[destination - 1], destination=destination)
+        learn(f, destination, 100 * destination, latency=40 * MS)
+    waits, due = [], {}
+    for number in range(1000, 1400):
+        f.arrive(number, cls=number % 2, destination=1 + number % 5)
+        if number % 5 == 4:  # the one that serves; the others answer nothing
+            start = f.now
+            while (number, 0) not in f.out and f.now < start + 2 * SECOND:
+                f.wait(5 * MS)
+            waits.append(f.now - start)
+            if (number, 0) in f.out:
+                f.outcome(number, Outcome.OK, latency=40 * MS)
+        for at, send in f.sends:
+            due[send.message] = at + send.timeout_ns
+        for message, _ in [call for call in f.out if due[call[0]] <= f.now]:
+            f.outcome(message, Outcome.TIMEOUT)
+        f.wait(8 * MS)
+    assert sum(waits) / len(waits) < 20 * MS
+
+
+def test_an_unsafe_call_waits_long_only_while_few_do() -> None:
+    f = Forwarder(settings(message_class(Safety.UNSAFE, aim_ns=3 * SECOND), slots=20))
+    f.endpoints("a", rate=1000.0)
+    learn(f, 1, 1, latency=40 * MS)
+    spans = [sent.timeout_ns for number in range(100, 104) for sent in f.arrive(number)]
+    assert spans[0] == spans[1] == 6 * SECOND and spans[3] < SECOND
+
+
+def test_a_long_queue_is_not_looked_at_while_no_slot_is_free() -> None:
+    # Guards against work that grows with the square of what is held.
+    f = Forwarder(settings(slots=2, max_open=10_000))
+    f.endpoints("a", "b")
+    for number in range(500):
+        f.arrive(number)
+    looks: list[int] = []
+    f.controller._worth = lambda *_: float(len(looks) or not looks.append(1))  # type: ignore
+    for number in range(500, 600):
+        f.arrive(number)
+    assert not looks and len(f.out) == 1
+
+
 def test_after_a_refusal_one_call_finds_out() -> None:
     f = Forwarder(settings(slots=50))
     f.endpoints("a")
