A route that has answered nothing gets two calls at most; first pace guessed from the aims

A probe that logged each route twice a second showed: replacements that hang too (5 and 4 calls out at routes with no answer so far), and after a restart, when all routes are unknown, 10 of 11 slots at one hanging route, each for seconds, as an unknown pace counted as 1 s.

--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -29,6 +29,9 @@
 PATIENT_PART, HURRIED = 0.1, 8.0  # part of the slots that may wait so long; beyond it the time-out is this
 DOUBT_PART = 0.2  # part of the slots for calls to routes that are silent, failing or not back yet
 LOOK_AGAIN = 20 * MS  # at a route that can't be called until another one's call has ended
+UNKNOWN_PACE = 1 / 16  # of the least aim: what a call takes, before any has been answered
+GUESS = 5.0  # in usual paces: mean and 3 deviations of a route that has answered less than three calls
+UNTRIED = 2  # calls out at most to a route that has answered none
 CHANCE = 0.1  # failures in a row at least this likely by the usual share of failures are no outage yet
 FAILING_MOST = 0.45  # an outage of many raises the usual share: three failed connects are never chance
 FAILING_GAIN = 0.05  # weight of a call in the usual share of failures
@@ -152,6 +155,7 @@
         self.tenant_due: dict[int, int] = {}  # when a tenant's share has paid for its messages so far
         self.logs = 0
         self.log_pace = 0.0
+        self.first_pace = UNKNOWN_PACE * min(cls.aim_ns for cls in settings.classes)
         self.capped: dict[int, float] = {}  # by kind of destination: share of calls that got no connection
         # By kind of destination: share of calls refused as full, and of those after a served one only.
         self.crowd: dict[int, list[float]] = {}
@@ -222,7 +226,7 @@
 
     def _pace(self) -> float:
         """The time that a call usually takes at all destinations."""
-        return math.exp(self.log_pace) if self.log_pace else float(SECOND)
+        return math.exp(self.log_pace) if self.log_pace else self.first_pace
 
     def _shed(self) -> None:
         """Nearly full: refuse early, for the longest backlog, what brings least, else the door does it."""
@@ -407,6 +411,8 @@
         opens = max(opens, route.limit.due - BURST)
         if route.limit.fulls and route.inflight:
             return max(opens, self.now + REST_FIRST)  # after a refusal, one call finds out
+        if not route.oks and route.inflight >= UNTRIED:  # it may hang as those do that it came to replace
+            return max(opens, self.now + LOOK_AGAIN)
         if self._doubtful(route):
             opens = max(opens, self._budget_opens(route))
             if opens <= self.now:
@@ -429,7 +435,11 @@
 
         New messages must not each pay a time-out to learn it. Harm: one very long call moves them on.
         """
-        return route.oks >= 3 and route.inflight >= 2 and self.now - route.heard > route.mean + 3 * route.dev
+        return route.oks > 0 and route.inflight >= 2 and self.now - route.heard > self._usual(route)
+
+    def _usual(self, route: Route) -> float:
+        """The time that few calls there exceed; a guess where the evidence is thin."""
+        return route.mean + 3 * route.dev if route.oks >= 3 else GUESS * (route.dest.mean or self._pace())
 
     def _budget_opens(self, route: Route) -> int:
         """When the fail-back budget allows the next call to a route that fails, or has just come back.
@@ -605,8 +615,7 @@
         """How long to wait for the answer of this attempt."""
         cls = message.cls
         left = max(self.s.tick_ns, message.deadline - self.now)
-        guess = min(float(cls.aim_ns), 5 * (route.dest.mean or self._pace()))  # thin evidence
-        usual = route.mean + 3 * route.dev if route.oks >= 3 else guess
+        usual = min(float(cls.aim_ns), self._usual(route))
         floor = self.s.connect_timeout_ns + self.s.tick_ns  # a connect failure proves more than a time-out
         # Heavy messages are few: a larger share of unanswered calls is lost, and patience ties up slots.
         loss = min(1.0, max(0.0, self.failing[1] / LOST_USUAL - 1))
