SMPP: who does not bind gives way, three refused binds end a connection

Seen by reading: with most_sessions connections that say nothing, a contractor was closed unread for up to 5 s (smpp/server.py accept), and a guesser of passwords could ask without end. The oldest unbound connection now gives way (not within its first 50 ms), and the third refused bind is the last. Seen to fail without it: the new test of silent connections.

--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -20,6 +20,8 @@
 
 MOST_BODY = 64 * 1024
 MOST_TLVS = 8 * 1024
+SPARED = 50 * MS  # a connection that new may just be about to bind
+MOST_REFUSED = 3  # binds on one connection
 WAIT_FIRST, WAIT_MOST = 100 * MS, 5 * SECOND
 SENDS = (Command.BIND_TRANSMITTER, Command.BIND_TRANSCEIVER)
 RECEIVES = (Command.BIND_RECEIVER, Command.BIND_TRANSCEIVER)
@@ -50,6 +52,8 @@
         self.account: Account | None = None
         self.bound: Command | None = None
         self.handing = 0  # submit_sm without an answer yet
+        self.refused = 0  # binds
+        self.since = session.loop.now
 
 
 class SmppServer:
@@ -74,7 +78,7 @@
                 log(f"smpp: connection not accepted: {error}")
                 self.loop.sleep(20 * MS)
                 continue
-            if len(self._guests) >= self.told.most_sessions:
+            if len(self._guests) >= self.told.most_sessions and not self._make_room():
                 log("smpp: too many sessions, one closed")
                 sock.close()
                 continue
@@ -82,6 +86,15 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.loop.spawn(self._host, Stream(self.loop, sock, self.buffers), f"{peer[0]}:{peer[1]}")
 
+    def _make_room(self) -> bool:
+        """Close the oldest connection that has not bound: silent ones must not keep contractors out."""
+        for guest in self._guests:
+            if guest.bound is None and not guest.session.closed and guest.since <= self.loop.now - SPARED:
+                log(f"smpp {guest.session.name}: closed unbound, to make room")
+                guest.session.close()
+                return True
+        return False
+
     def _host(self, stream: Stream, name: str) -> None:
         """One connection from bind to its end."""
         guest = Guest(Session(self.loop, stream, name, self.told.enquire, self.told.response))
@@ -122,6 +135,7 @@
             guest.account, guest.bound = account, pdu.command
             guest.session.name = f"{pdu.text('system_id')}@{guest.session.name}"
         else:
+            guest.refused += 1
             log(f"smpp {guest.session.name}: bind of {pdu.text('system_id')!r} refused, {status.name}")
         answer = pdu.reply(status, system_id=self.told.system_id)
         answer.tlvs.append((p.SC_INTERFACE_VERSION, b"\x34"))
@@ -129,6 +143,8 @@
             for parking in self._hopeful:
                 parking.resume()
             self._hopeful.clear()
+        if guest.refused >= MOST_REFUSED and guest.bound is None:  # guessing, or asking again without end
+            guest.session.close()
 
     def _hand_in(self, guest: Guest, account: Account, pdu: Pdu) -> None:
         """A submit_sm in its message's own task."""
--- a/tests/test_smpp.py
+++ b/tests/test_smpp.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import struct
 from datetime import UTC, datetime
 from pathlib import Path
@@ -385,3 +386,49 @@
     stage.until(lambda: got and got[-1] == b"")
     assert got[0][:12] == struct.pack(">III", 16, Command.GENERIC_NACK, Status.ESME_RINVCMDLEN)
     stage.contractor()  # and others are still served
+
+
+def test_who_does_not_bind_gives_way_and_who_is_refused_thrice_is_let_go(tmp_path: Path) -> None:
+    # Guards against silent connections, or guessers of passwords, that take all the sessions there are.
+    stage = Stage(tmp_path)
+    stage.open()
+    most = stage.server.told.most_sessions
+    silent = []
+    for _ in range(most):
+        sock = socket.create_connection(stage.address)
+        sock.setblocking(False)
+        silent.append(sock)
+        stage.until(lambda: len(stage.server._guests) == len(silent))
+    stage.wait(60 * MS)
+    contractor = stage.contractor()
+    assert contractor.answers[0].status == 0 and len(stage.server._guests) <= most
+    bad = p.encode(Pdu(Command.BIND_TRANSCEIVER, 1, 0, {"system_id": "nobody", "password": "x"}))
+    got, sock = b"", silent[-1]
+    sock.send(bad * 5)
+    while True:
+        stage.loop.turn()
+        try:
+            data = sock.recv(4096)
+        except BlockingIOError:
+            continue
+        except ConnectionResetError:
+            break
+        if not data:
+            break
+        got += data
+    assert got.count((Command.BIND_TRANSCEIVER | p.RESPONSE).to_bytes(4, "big")) <= 3
+    for sock in silent:
+        sock.close()
+
+
+def test_a_pdu_longer_than_a_buffer_is_read_whole(tmp_path: Path) -> None:
+    stage = Stage(tmp_path, gateway(("127.0.0.1", 9)))
+    contractor = stage.contractor()
+    body = bytes(range(256)) * 200
+    stage.loop.spawn(contractor.ask, Command.SUBMIT_SM, b"", [(p.MESSAGE_PAYLOAD, body)])
+    stage.until(lambda: len(contractor.answers) == 2)
+    assert contractor.answers[1].status == Status.ESME_RINVDSTADR
+    fields = {"destination_addr": "3725550", "service_type": "RD"}
+    stage.loop.spawn(lambda: contractor.ask(Command.SUBMIT_SM, b"", [(p.MESSAGE_PAYLOAD, body)], **fields))
+    stage.until(lambda: len(contractor.answers) == 3)
+    assert [message.body for message in stage.courier.open.values()] == [body]
