Idle client connections are kept only while they are few

Log and a probe each half second: none was deferred, rejected or returned by us; 240 idle connections that had asked once, and then no hand-in at all for half a second at a time, until those were closed after their 2.1 s. Their clients may hold a third of the descriptors and had used that up, so they could not connect. At fault: http/sender.py kept every connection alive, whatever the number. Now an answer says Connection: close while a quarter of the cap is idle already. Usual clients' few connections stay. The test was seen to fail without it.

--- a/kestrelspar/http/sender.py
+++ b/kestrelspar/http/sender.py
@@ -64,6 +64,7 @@
                  most: int) -> None:
         self.loop, self.buffers, self.courier, self.sender = loop, buffers, courier, sender
         self._most = most  # connections held at once
+        self._most_idle = max(4, most // 4)  # and of those kept open between requests
         self._clients: dict[State, dict[Client, int]] = {state: {} for state in State}  # since when, in order
         self._tallies: dict[str, int] = {}
 
@@ -164,7 +165,9 @@
             self._is(client, State.SERVED)
             method, target, _ = head.first
             path = target.partition("?")[0]
-            keep = head.keeps and self.courier.closing is None
+            # Clients that ask once and stay would soon hold all the connections that they may have.
+            room = len(self._clients[State.IDLE]) < self._most_idle
+            keep = head.keeps and room and self.courier.closing is None
             if method == "GET":
                 stream.write(self._page(path, keep), self.loop.now + WRITE_WITHIN)
                 return keep
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -18,7 +18,7 @@
 from kestrelspar.http import parser
 from kestrelspar.http.nexthop import NextHops, load_report, meaning, seconds
 from kestrelspar.http.notices import Notices
-from kestrelspar.http.sender import SenderServer, expires
+from kestrelspar.http.sender import SenderServer, State, expires
 from kestrelspar.http.watch import Lines, Watch
 from kestrelspar.loop import MS, SECOND, connect
 from snowlock import interface as api
@@ -321,6 +321,22 @@
         sock.close()
 
 
+def test_connections_that_ask_once_and_stay_are_kept_only_while_they_are_few(tmp_path: Path) -> None:
+    # Guards against idle connections that leave no room for new ones, though far from our own limit.
+    stage = Stage(tmp_path, ok)
+    stayed, closed = [socket.create_connection(stage.address) for _ in range(9)], []
+    for number, sock in enumerate(stayed):
+        sock.sendall(hand_in(f"t{number}"))
+        stage.until(lambda number=number: stage.courier._last == number + 1)
+        stage.until(lambda: not stage.server._clients[State.SERVED])
+        answer = sock.recv(1000)
+        assert b" 202 " in answer
+        closed.append(b"Connection: close" in answer)
+    assert closed == [False] * 5 + [True] * 4 and stage.server.count == 5
+    for sock in stayed:
+        sock.close()
+
+
 def test_the_last_buffers_are_kept_for_the_answers_to_our_own_calls() -> None:
     # Guards against half requests that hold all buffers, so that answers count as time-outs.
     pool, loop = BufferPool(3, kept=1), SkippingLoop(CLOCK)
