Time-outs in a row close a route as soon as before; only quick failures need more evidence

At fault: control.py _learn and _doubtful took a time-out, which holds a slot for long, as a quick failure. Now the old bound holds for time-outs, and one of them makes a route doubtful. The test was seen to fail without it.

--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -33,7 +33,7 @@
 GUESS = 5.0  # in usual paces: mean and 3 deviations of a route that has answered less than three calls
 UNTRIED = 2  # calls out at most to a route that has answered none
 CHANCE = 0.1  # failures in a row at least this likely by the usual share of failures are no outage yet
-SURELY = 0.001  # as likely as this: an outage, also where calls come often
+SURELY = 0.001  # the same for quick failures where calls come often; they cost little to find out
 FAILING_MOST = 0.45  # an outage of many raises the usual share: three failed connects are never chance
 FAILING_GAIN = 0.05  # weight of a call in the usual share of failures
 SHUT_PART = 0.5  # of fall_ns: only refusals for this long, or a told wait of this length: shut, not limited
@@ -121,7 +121,7 @@
         self.idle_since = -NEVER  # when its last call ended with its connection left open
         self.mean = self.dev = 0.0
         self.loss = 0.0  # share of its calls that may have run and brought no answer that counts
-        self.down = False
+        self.down = self.timed_out = False  # the latter: its last failure held a slot for long
         self.failed: dict[int, tuple[int, bool]] = {}  # class not served since: when, others served between
         self.back: int | None = None
 
@@ -426,8 +426,8 @@
         return opens
 
     def _doubtful(self, route: Route) -> bool:
-        """Whether calls there may well wait in vain. One failure is none yet: some lose one at times."""
-        return route.down or route.bad > 1 or self._silent(route)
+        """Whether calls there may well wait in vain. One quick failure is no sign: some lose one at times."""
+        return route.down or route.bad > 1 or route.bad > 0 and route.timed_out or self._silent(route)
 
     def _any_open(self, dest: Destination) -> bool:
         """Whether any of its routes may take a call now."""
@@ -795,6 +795,7 @@
         if alone:
             return
         route.bad += 1
+        route.timed_out = outcome is Outcome.TIMEOUT
         route.dest.bad += 1
         route.dest.sick_at = self.now
         route.since = route.since or self.now
@@ -804,7 +805,8 @@
         shared = route.dest.bad > route.bad and (seldom or not route.dest.apart)
         usual = self.failing[lost] if lost else min(self.failing[lost], FAILING_MOST)
         chance = usual ** (route.dest.bad if shared else route.bad)
-        doubtful = chance < CHANCE if seldom else route.bad >= 3 and chance < SURELY
+        enough = CHANCE / 5 if route.timed_out else SURELY
+        doubtful = chance < CHANCE if seldom else route.bad >= 3 and chance < enough
         if doubtful or route.bad >= route.fails:
             for kin in route.dest.routes if shared else [route]:
                 if kin.bad:
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -141,6 +141,20 @@
         assert sent.endpoint == route(name)
 
 
+def test_time_outs_in_a_row_close_a_route_sooner_than_quick_failures() -> None:
+    # Guards against slow routes that stay open for long because many calls elsewhere were lost.
+    for outcome, closed in ((Outcome.TIMEOUT, True), (Outcome.RESET, False)):
+        f = Forwarder(settings(slots=50))
+        f.endpoints("a", destination=1)
+        learn(f, 1, 1)
+        f.controller.failing = [0.2, 0.2]  # the usual share: three in a row are no chance, nor quite sure
+        for number in range(100, 103):
+            f.arrive(number)
+        for number in range(100, 103):
+            f.outcome(number, outcome)
+        assert bool(f.logs) is closed
+
+
 def test_a_long_queue_is_not_looked_at_while_no_slot_is_free() -> None:
     # Guards against work that grows with the square of what is held.
     f = Forwarder(settings(slots=2, max_open=10_000))
