--- a/kestrelspar/serve.py
+++ b/kestrelspar/serve.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import socket
+import zlib
 from collections.abc import Callable, Mapping
 from functools import partial
 from pathlib import Path
@@ -19,6 +20,8 @@
 from kestrelspar.http.sender import SenderServer
 from kestrelspar.http.watch import Watch
 from kestrelspar.journal import Journal
+from kestrelspar.registry import keep
+from kestrelspar.registry.follower import Follower
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import SIZE, BufferPool
 from kestrelspar.runtime.loop import Loop, listen
@@ -28,6 +31,7 @@
 from snowlock import interface as api
 
 BUFFERS_PART = 8  # of the memory, one in so many bytes goes to read buffers at most
+MOST_KEPT = 0.5  # of the disk, for kept lists; the rest is the journal's
 LATER = ("name", "listen", "state", "sockets", "memory", "disk_bytes", "settings")  # read at the start only
 
 
@@ -71,6 +75,13 @@
         extra = self.conf.one(schema.Plugins)
         scripts = extra.scripts if extra.enabled else ()
         self.rules = [rule for name in scripts for rule in plugins.read(Path(name))]
+        reserved = sum(keep.reserve(r.told.keep) for r in self.registries)
+        if reserved > MOST_KEPT * self.platform.disk_bytes:
+            told = next(t for t in self.conf.many(schema.Registry) if t.label == self.registries[0].label)
+            raise ConfFaults([told.fault("keep", f"kept lists may take {reserved} bytes, old and new copy, and the "
+                                                 f"journal needs half of limits.disk_mb, "
+                                                 f"{self.platform.disk_bytes} bytes")])
+        self.reserved = reserved
         self.maps: dict[str, list[entries.Entry]] = {}
         for told in self.conf.many(schema.Map):
             assert isinstance(told.values, schema.Map)
@@ -104,14 +115,56 @@
     return 2
 
 
-def _reload(environment: Mapping[str, str], told: Told, watch: Watch, notices: Notices) -> None:
-    """SIGHUP: read the configuration again and follow discovery to its new address; open messages go on."""
+class Registries:
+    """The registries that are followed, and their calls' connections."""
+
+    def __init__(self, loop: Loop, buffers: BufferPool, courier: Courier, told: Told) -> None:
+        self._loop, self._buffers, self._courier, self._told = loop, buffers, courier, told
+        self._followers: dict[str, Follower] = {}
+        self._carrier: NextHops | None = None  # made when needed: the platform has no registry
+        self._idle = told.platform.sockets // 8 if told.registries else 8
+        # Connections to next hops, and for each registry a list, a watch, and a kept file.
+        self.descriptors = self._idle + 4 * len(told.registries) if told.registries else 0
+
+    def follow(self, told: list[resolve.Registry]) -> None:
+        """Follow these, and no others: new ones start, others move, those that are missing end."""
+        wanted = {registry.label: registry for registry in told}
+        for label in [label for label in self._followers if label not in wanted]:
+            self._followers.pop(label).stop()
+        for label, registry in wanted.items():
+            if label in self._followers:
+                self._followers[label].move(registry)
+                continue
+            if self._carrier is None:
+                self._carrier = NextHops(self._loop, self._buffers, self._told.platform.settings, self._idle)
+            seed = self._told.platform.seed ^ zlib.crc32(label.encode())
+            self._followers[label] = Follower(self._loop, self._buffers, self._courier, self._carrier, registry,
+                                              self._told.platform.state, seed)
+            self._followers[label].start()
+
+
+def _reload(environment: Mapping[str, str], told: Told, watch: Watch, notices: Notices,
+            registries: Registries) -> None:
+    """SIGHUP: read the configuration again; follow discovery and registries to where they are now, and log as it
+    says. Open messages go on. What will not do changes nothing."""
     try:
         fresh = platform.read(environment, again=True)
+        conf = conf_file.load(conf_file.where(environment), environment)
+        followed = resolve.registries(conf)
+        if sum(keep.reserve(r.told.keep) for r in followed) > told.reserved:
+            raise ValueError("registry.keep: kept lists may take no more disk than at the start "
+                             "(restart, or set keep 0B)")
     except ValueError as error:
-        logs.error("configuration-not-taken", why=str(error))
+        faults = error.faults if isinstance(error, ConfFaults) else [error]
+        for fault in faults:
+            logs.error("configuration-not-taken", why=str(fault))
         return
     later = [key for key in LATER if getattr(fresh, key) != getattr(told.platform, key)]
+    later += [title for title in ("smpp", "smpp-account", "smpp-gateway", "plugins", "map")
+              if [s.values for s in conf.sections.get(title, [])]
+              != [s.values for s in told.conf.sections.get(title, [])]]
+    logs.set_up(conf.one(schema.Log).format, conf.one(schema.Log).level)
+    registries.follow(followed)
     logs.event("configuration-read", at_next_start=" ".join(later) or None)
     if fresh.discovery != watch.discovery:
         logs.event("discovery-moves", to=f"{fresh.discovery[0]}:{fresh.discovery[1]}")
@@ -137,7 +190,9 @@
     loop = Loop()
     buffers = BufferPool(*_buffers(told.memory, told.settings))
     try:
-        journal = Journal(told.state, told.disk_bytes, told.settings.max_attempts)
+        for name in keep.clear(told.state, [registry.label for registry in all_told.registries]):
+            logs.event("registry-kept-removed", file=name)
+        journal = Journal(told.state, told.disk_bytes - all_told.reserved, told.settings.max_attempts)
         listener = listen(told.listen)
         smpp_listener = None if smpp is None else listen(smpp.listen)
     except OSError as error:  # a folder that can't be written, an address that is taken
@@ -159,14 +214,17 @@
     if all_told.rules:
         courier.hooks.append(plugins.Plugins(loop, told.settings, all_told.rules))
         logs.event("plugins", rules=len(all_told.rules))
+    registries = Registries(loop, buffers, courier, all_told)
+    kept += registries.descriptors
     server = SenderServer(loop, buffers, courier, notices, max(16, told.sockets - kept))
     watch = Watch(loop, buffers, courier, carrier, told.discovery)
     loop.spawn(_heed, loop, ear, {
         signal.SIGTERM: courier.close, signal.SIGINT: courier.close,
-        signal.SIGHUP: partial(_reload, environment, all_told, watch, notices),
+        signal.SIGHUP: partial(_reload, environment, all_told, watch, notices, registries),
     })
     if told.known:
         watch.take(told.known)
+    registries.follow(all_told.registries)
     courier.resume()
     loop.spawn(watch.run)
     loop.spawn(server.accept, listener)
--- a/kestrelspar/settings/schema.py
+++ b/kestrelspar/settings/schema.py
@@ -20,6 +20,7 @@
     path,
     secret,
     size,
+    span,
     switch,
     text,
 )
@@ -131,7 +132,7 @@
     check: Annotated[int, duration("etcd: how often a silent watch is compared with the list",
                                    100 * MS, HOUR)] = 10 * SECOND
     wait: Annotated[int, duration("consul: how long a read blocks while nothing changes",
-                                  SECOND, 600 * SECOND)] = 30 * SECOND
+                                  SECOND, 600 * SECOND)] = 10 * SECOND
     consistency: Annotated[str, choice("consul: which members may answer",
                                        "default", "consistent", "stale")] = "default"
     page: Annotated[int, number("etcd: entries asked for at once", 1, 10_000)] = 500
@@ -152,6 +153,9 @@
             found.append(("token-file", "is consul's (wanted with etcd: username and password-file)"))
         if self.type == "etcd" and bool(self.username) != bool(self.password_file):
             found.append(("username", "and password-file go together"))
+        quiet, name = (2 * self.check, "check") if self.type == "etcd" else (2 * self.wait, "wait")
+        if quiet > self.patience:
+            found.append((name, f"is more than half of patience, {span(self.patience)}: a quiet list would be stale"))
         if self.type == "consul" and self.prefix.startswith("/"):
             found.append(("prefix", "begins with / (wanted: consul's keys have none in front)"))
         return found
--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -17,6 +17,7 @@
 SECOND = 1_000 * MS
 NEVER = 1 << 62
 
+MANY = 1_000  # routes; beyond that gone ones are forgotten now and then, not at each change
 TRIES = 2  # on a route before the next one: a sick route is also remembered, so few are enough
 WAIT_AIM_PART = 0.08  # first wait between tries, as a part of the class's aim; doubles with each try
 WAIT_MAX = 10 * SECOND  # the design's longest wait
@@ -150,6 +151,7 @@
         self.now = 0
         self.messages: dict[int, Message] = {}
         self.routes: dict[api.EndpointId, Route] = {}
+        self.sweep_at = 0  # when gone routes are next forgotten, where many are listed
         self.dests: dict[int, Destination] = {}
         self.lines: dict[int, deque[Message]] = {}  # ordered keys: messages not finished, in order
         self.key_rest: dict[int, int] = {}
@@ -280,9 +282,10 @@
                 dest.routes.append(known)
             dest.routes.sort(key=self._order)
         # Gone ones are forgotten, but not their told waits: they may be listed again.
-        since = self.now - self.s.ramp_ns
-        kept = [r for r in self.routes.values() if r.ready or max(r.heard, r.wait_until) > since]
-        self.routes = {route.id: route for route in kept}
+        if len(self.routes) < MANY or self.now >= self.sweep_at:  # a change must not cost by what is listed
+            since, self.sweep_at = self.now - self.s.ramp_ns, self.now + self.s.ramp_ns
+            kept = [r for r in self.routes.values() if r.ready or max(r.heard, r.wait_until) > since]
+            self.routes = {route.id: route for route in kept}
         for route in fresh:
             # Where routes share the outage too, a replacement listed during it is no healthier than the rest.
             if not route.dest.apart and route.dest.sick_at > since:
