Verbs for the registry's list, a demo of a courier as it really runs, and the stand-in by itself

Need: operators want to look at and change the list without overwriting each other, and a newcomer wants to see the courier work from nothing but a checkout.

--- a/kestrelspar/cli/standin.py
+++ b/kestrelspar/cli/standin.py
@@ -1,7 +1,71 @@
-"""x."""
+"""``kestrelspar standin``: stand-ins for outside systems, to try things by hand."""
+
+from __future__ import annotations
+
+import socket
+
 import click
 
+from kestrelspar.cli.main import Fault
+from kestrelspar.cli.units import DURATION
+from kestrelspar.core import entries
+from kestrelspar.runtime.loop import SECOND, Loop
+from kestrelspar.settings.kinds import address, value
+from kestrelspar.standins.registry import Member, Store, rough
+
 
 @click.group("standin")
 def verb() -> None:
-    """x."""
+    """Start a stand-in for an outside system, on loopback, to try things by hand."""
+
+
+@verb.command()
+@click.option("--listen", default="127.0.0.1:2379", show_default=True, help="The first member's address.")
+@click.option("--members", type=click.IntRange(1, 9), default=1, show_default=True,
+              help="Members of one store, on the ports from there on.")
+@click.option("--schedule", type=click.Choice(["calm", "rough"]), default="calm", show_default=True,
+              help="rough: compacts, drops and cuts connections, falls silent, lags, lapses leases, expires tokens.")
+@click.option("--every", type=DURATION, default="2s", show_default=True, help="How often something goes wrong.")
+@click.option("--seed", type=int, default=1, show_default=True, help="For the schedule.")
+@click.option("--fill", type=click.IntRange(0, 100_000), default=0, help="Begin with so many entries.")
+@click.option("--prefix", default="/kestrelspar/endpoints/", show_default=True, help="Where --fill puts them.")
+@click.option("--for", "span", type=DURATION, help="End by itself after so long.")
+def registry(listen: str, members: int, schedule: str, every: int, seed: int, fill: int, prefix: str,
+             span: int | None) -> None:
+    """A registry that speaks etcd's JSON gateway and Consul's KV, both on each port.
+
+    \b
+    Example:
+      kestrelspar standin registry --listen 127.0.0.1:2379 --members 2 --schedule rough --seed 7
+    """
+    host, first = value(listen, address(""), "")
+    loop, store, served = Loop(), Store(), []
+    for place in range(members):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((host, first + place))
+        except OSError as error:
+            raise Fault(f"{host}:{first + place}: {error}") from error
+        sock.listen(512)
+        sock.setblocking(False)
+        served.append(Member(loop, store, sock, limit_fragment=500))
+        click.echo(f"registry member on {host}:{first + place}")
+    rows = [entries.Entry(name=f"hop-{n}", address=f"127.0.0.1:{20_000 + n % 10_000}", group=n // 2)
+            for n in range(fill)]
+    store.commit([(f"{prefix}{row.name}".encode(), entries.encode(row), 0) for row in rows])
+    if schedule == "rough":
+        loop.spawn(rough, loop, served, seed, every, click.echo)
+
+    def lapse() -> None:
+        while True:
+            loop.sleep(SECOND)
+            store.lapse(loop.now)
+
+    loop.spawn(lapse)
+    if span is not None:
+        loop.at(loop.now + span, loop.stop)
+    try:
+        loop.run()
+    except KeyboardInterrupt:
+        click.echo("ended")
--- a/kestrelspar/core/entries.py
+++ b/kestrelspar/core/entries.py
@@ -82,10 +82,13 @@
     Without a zone it is in the first one; without a type it is of a kind whose endpoints are routes apart.
     """
     apart = [kind for kind, is_apart in enumerate(settings.routes_apart) if is_apart]
+    zone, kind = 0, apart[0] if apart else 0
+    if entry.zone is not None and settings.zones:
+        zone = place(entry.zone, settings.zones, "zone")
+    if entry.type is not None and settings.kinds:
+        kind = place(entry.type, settings.kinds, "type")
     endpoint = api.Endpoint(
-        entry.name.encode(), entry.group,
-        0 if entry.zone is None else place(entry.zone, settings.zones, "zone"),
-        (apart[0] if apart else 0) if entry.type is None else place(entry.type, settings.kinds, "type"),
+        entry.name.encode(), entry.group, zone, kind,
         STATES[entry.status], entry.weight, int(entry.backup), entry.tries, entry.read_timeout_ms * MS * 1000,
         entry.max_fails,
     )
--- a/kestrelspar/registry/follower.py
+++ b/kestrelspar/registry/follower.py
@@ -43,10 +43,10 @@
     """One registry section at work. ``run`` is its task; ``settle`` starts it."""
 
     def __init__(self, loop: Loop, buffers: BufferPool, courier: Courier, carrier: Carrier, told: Registry,
-                 folder: str, seed: int) -> None:
+                 folder: str | None, seed: int) -> None:
         self.loop, self.buffers, self.courier, self.carrier = loop, buffers, courier, carrier
         self.told, self.source = told, f"registry {told.label}"
-        self._file = keep.path(folder, told.label)
+        self._file = keep.path(folder, told.label) if folder is not None else None  # none: no list is kept
         self._random = Random(seed)
         self.belief = Belief(self._read)
         self.sync = self._sync()
@@ -113,7 +113,8 @@
         self.courier.stale.pop(self.source, None)
         self.courier.map.unheard.discard(self.source)
         self.courier.listed(self.source, [], whole=True)
-        self._file.unlink(missing_ok=True)
+        if self._file is not None:
+            self._file.unlink(missing_ok=True)
         logs.event("registry-left", registry=self.told.label)
 
     def run(self, life: int) -> None:
@@ -269,7 +270,8 @@
             if life != self._life:
                 return
             self._tick()
-            if self.told.told.keep and self.sync.listed and self._changed and self.loop.now >= kept + KEEP_EVERY:
+            wanted = self._file is not None and self.told.told.keep and self.sync.listed and self._changed
+            if wanted and self.loop.now >= kept + KEEP_EVERY:
                 kept = self.loop.now
                 self._keep()
 
@@ -278,6 +280,8 @@
     def _take_kept(self) -> None:
         """Begin with the list of the last life, as old as it is."""
         told = self.told.told
+        if self._file is None:
+            return
         if not told.keep:
             self._file.unlink(missing_ok=True)
             return
@@ -303,6 +307,7 @@
         self.courier.listed(self.source, news.hops())
 
     def _keep(self) -> None:
+        assert self._file is not None
         told, sync = self.told.told, self.sync
         at = time.time_ns() // 1_000_000 - (self.loop.now - sync.heard) // MS
         head = keep.Head(format=keep.FORMAT, type=told.type, prefix=told.prefix, cluster=sync.cluster,
--- a/kestrelspar/runtime/logs.py
+++ b/kestrelspar/runtime/logs.py
@@ -21,15 +21,16 @@
 
 
 class _Stdout(logging.StreamHandler[TextIO]):
-    """Writes to whatever standard output is at the moment."""
+    """Writes to whatever standard output is at the moment, or to a stream that was named."""
 
-    def __init__(self) -> None:
+    def __init__(self, named: TextIO | None) -> None:
         logging.Handler.__init__(self)
+        self._named = named
 
     @property
     def stream(self) -> TextIO:
         """Standard output."""
-        return sys.stdout
+        return self._named or sys.stdout
 
     @stream.setter
     def stream(self, value: TextIO) -> None:
@@ -53,9 +54,9 @@
         return super().format(record).translate(_PLAIN).replace("\n", "\\n")
 
 
-def set_up(form: str = "logfmt", level: str = "info") -> None:
+def set_up(form: str = "logfmt", level: str = "info", stream: TextIO | None = None) -> None:
     """Write events in this form from this level on; may be called again."""
-    handler = _Stdout()
+    handler = _Stdout(stream)
     if form == "json":
         from pythonjsonlogger.json import JsonFormatter  # only here: it takes 2 MB
 
--- /dev/null
+++ b/tests/cli/test_verbs.py
@@ -0,0 +1,160 @@
+"""The operators' verbs against the stand-in registry, the demo, and a newcomer's program."""
+
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from kestrelspar.cli import map as map_verbs
+from kestrelspar.cli.main import cli
+from kestrelspar.standins.registry import Member
+from tests.registry.alone import Alone
+from tests.registry.test_follower import value
+from tests.test_program import FAR, ROOT, Program, World, until, world
+
+NGINX = """events {}
+http {
+    upstream pay { server 10.0.0.1:81 weight=3; server 10.0.0.2 backup; }
+    server { location /pay/ { proxy_pass http://pay/api/; proxy_read_timeout 2s; } }
+}
+"""
+__all__ = ["world"]
+
+
+@pytest.fixture(params=["etcd", "consul"])
+def registry(request: pytest.FixtureRequest, tmp_path: Path) -> Iterator[tuple[Member, str]]:
+    with Alone() as member:
+        conf = tmp_path / "k.conf"
+        conf.write_text(f"registry main\n  type {request.param}\n  servers 127.0.0.1:1 127.0.0.1:{member.address[1]}\n"
+                        "  prefix hops/\n  page 2\n")
+        yield member, str(conf)
+
+
+def said(conf: str, *words: str, code: int = 0) -> str:
+    done = CliRunner().invoke(cli, ["map", words[0], "--conf", conf, *words[1:]])
+    assert done.exit_code == code, f"{words}: {done.output} {done.exception!r}"
+    return done.output
+
+
+def test_entries_are_put_drained_and_removed(registry: tuple[Member, str]) -> None:
+    _, conf = registry
+    said(conf, "put", "s-1", "--group", "3", code=2)
+    assert "would put" in said(conf, "put", "s-1", "--group", "3", "--address", "10.0.0.1:80", "--dry-run")
+    assert said(conf, "list", "--json").strip() == "[]"
+    for name in ("s-1", "s-2", "s-3"):
+        said(conf, "put", name, "--group", "3", "--address", "10.0.0.1:80", "--zone", "a", "--new")
+    assert "--new" in said(conf, "put", "s-1", "--group", "4", "--new", code=1)
+    assert "$.weight" in said(conf, "put", "s-1", "--weight", "-1", code=1)
+    said(conf, "put", "s-2", "--weight", "2.5")
+    assert "is so already" in said(conf, "put", "s-2", "--weight", "2.5")
+    said(conf, "drain", "s-1", "s-2")
+    said(conf, "drain", "s-2", "--undo")
+    said(conf, "remove", "s-3")
+    assert "no such endpoint" in said(conf, "remove", "s-3", code=1)
+    rows = json.loads(said(conf, "list", "--json"))
+    assert [(r["name"], r.get("status", "active"), r.get("weight", 1.0)) for r in rows] == [
+        ("s-1", "leaving", 1.0), ("s-2", "active", 2.5)]
+    assert "s-2" in said(conf, "list") and "draining" in said(conf, "watch", "--for", "500ms")
+
+
+def test_an_entry_that_cannot_be_read_shows_and_can_be_removed(registry: tuple[Member, str]) -> None:
+    member, conf = registry
+    member.store.put("hops/bad", b"{}")
+    assert "can't be read" in said(conf, "list", code=1)
+    said(conf, "remove", "hops/bad")
+    assert member.store.at(b"hops/bad", member.store.revision) is None
+
+
+def test_two_operators_do_not_overwrite_each_other(registry: tuple[Member, str],
+                                                   monkeypatch: pytest.MonkeyPatch) -> None:
+    member, conf = registry
+    member.store.put("hops/s", value("s"))
+    read = map_verbs.Client.rows
+
+    def other_first(self: map_verbs.Client) -> list[map_verbs.Row]:
+        rows = read(self)
+        member.store.put("hops/s", value("s", address="127.0.0.1:7"))
+        member.store.put("hops/new", value("new"))
+        return rows
+
+    monkeypatch.setattr(map_verbs.Client, "rows", other_first)
+    for words in (("drain", "s"), ("remove", "s"), ("put", "s", "--weight", "5"),
+                  ("put", "new", "--group", "1", "--address", "10.0.0.1:80")):
+        assert "somebody else changed it" in said(conf, *words, code=1)
+        member.store.delete("hops/new")
+    found = member.store.at(b"hops/s", member.store.revision)
+    assert found is not None and found.value == value("s", address="127.0.0.1:7")
+
+
+def test_an_import_is_compared_written_and_takes_back_what_its_file_dropped(
+        registry: tuple[Member, str], tmp_path: Path) -> None:
+    member, conf = registry
+    member.store.put("hops/other", value("other"))
+    file = tmp_path / "member.conf"
+    file.write_text(NGINX.replace("weight=3", "weight=3 resolve"))
+    assert "member.conf:3" in said(conf, "import", str(file), code=1) and member.store.revision == 2
+    file.write_text(NGINX)
+    assert "would add hops/pay-1-0" in said(conf, "import", str(file), "--dry-run")
+    assert "only in the file: pay-1-0" in said(conf, "diff", str(file), code=1)
+    assert "2 changes" in said(conf, "import", str(file))
+    assert "no difference" in said(conf, "diff", str(file)) and "0 changes" in said(conf, "import", str(file))
+    file.write_text(NGINX.replace(" server 10.0.0.2 backup;", "").replace("weight=3", "weight=4"))
+    assert "weight: registry 3.0, file 4.0" in said(conf, "diff", str(file), code=1)
+    assert "remove hops/pay-1-1" in said(conf, "import", str(file))
+    assert {row["name"] for row in json.loads(said(conf, "list", "--json"))} == {"other", "pay-1-0"}
+    member.store.put("hops/pay-1-0", value("pay-1-0"))
+    assert "put by hand" in said(conf, "import", str(file), code=1)
+
+
+def test_a_registry_that_does_not_answer_or_is_not_named_is_said(tmp_path: Path) -> None:
+    conf = tmp_path / "k.conf"
+    conf.write_text("registry a\n  type etcd\n  servers 127.0.0.1:1\n  prefix x/\n")
+    assert "127.0.0.1:1: no connection" in said(str(conf), "list", code=1)
+    assert "no registry 'b'" in said(str(conf), "list", "--registry", "b", code=2)
+
+
+def test_the_program_follows_a_registry_and_starts_again_without_it(tmp_path: Path, world: str) -> None:
+    with Alone() as member:
+        member.store.put("hops/far", value("far", address=world, group=9).replace(b"contractor", b"m")
+                         .replace(b"room-a", b"a"))
+        conf = tmp_path / "k.conf"
+        conf.write_text(f"registry main\n  type etcd\n  servers 127.0.0.1:{member.address[1]}\n  prefix hops/\n"
+                        "  keep 64KB\n")
+        program = Program(tmp_path, world, KESTRELSPAR_CONF=str(conf)).ready()
+
+        def hand_in(trace: str) -> int | None:
+            return program.ask("POST", "/reading", **{"X-Trace-Id": trace, "X-Qos": "reading",
+                                                      "X-Expires-In": "15000m", "X-Route-To": "dest=9"})
+
+        until(lambda: hand_in("first") in (202, 409))
+        until((tmp_path / "registry-main.list").exists)
+        assert program.end(signal.SIGTERM)[0] == 0
+    program = Program(tmp_path, world, KESTRELSPAR_CONF=str(conf)).ready()
+    assert hand_in("second") == 202  # its destination is known from the kept list alone
+    until(lambda: "second" in World.calls)
+    conf.write_text("registry main\n  typ etcd\n")
+    program.process.send_signal(signal.SIGHUP)
+    assert any("event=configuration-not-taken" in line for line in iter(program.process.stdout or ()))
+    code, out = program.end(signal.SIGTERM)
+    assert code == 0 and "event=fault" not in out
+
+
+def test_the_demo_needs_nothing_and_accounts_for_each_message() -> None:
+    done = subprocess.run([sys.executable, "-m", "kestrelspar", "demo", "--for", "1s", "--rate", "40"], cwd=ROOT,
+                          capture_output=True, text=True, timeout=FAR, check=False)
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert "each with exactly one end" in done.stdout and "payment" in done.stdout
+
+
+def test_serving_imports_nothing_that_only_verbs_need() -> None:
+    code = ("import sys, kestrelspar.serve; "
+            "print([m for m in ('click', 'rich', 'crossplane', 'pythonjsonlogger') if m in sys.modules])")
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
--- a/tests/registry/test_follower.py
+++ b/tests/registry/test_follower.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import json
-import queue
-import threading
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
@@ -14,12 +12,13 @@
 
 from kestrelspar.registry import keep
 from kestrelspar.registry.follower import Follower
-from kestrelspar.runtime.loop import SECOND, Loop
+from kestrelspar.runtime.loop import SECOND
 from kestrelspar.settings import schema
 from kestrelspar.settings.resolve import Registry
 from kestrelspar.standins.registry import Faults, Member, Store
 from snowlock import interface as api
 from tests.bench import LIMIT, Scene, listener
+from tests.registry.alone import Alone
 from tests.test_http import Stage, hand_in, ok
 
 PREFIX = "hops/"
@@ -317,28 +316,6 @@
 
 # Client libraries of others against the stand-in: it must be the protocol, not just our own idea of it.
 
-class Alone:
-    """The stand-in on a loop in a thread of the test."""
-
-    def __enter__(self) -> Member:
-        made: queue.Queue[Member] = queue.Queue()
-        self.done = False
-
-        def run() -> None:  # a loop belongs to the thread that makes it
-            loop = Loop()
-            made.put(Member(loop, Store(), listener()[0]))
-            while not self.done:
-                loop.turn()
-
-        self.thread = threading.Thread(target=run, daemon=True)
-        self.thread.start()
-        return made.get()
-
-    def __exit__(self, *_: object) -> None:
-        self.done = True
-        self.thread.join(5)
-
-
 def test_an_etcd_library_of_others_works_with_the_stand_in() -> None:
     from etcd3gw.client import Etcd3Client
     with Alone() as member:
