--- a/kestrelspar/cli/standin.py
+++ b/kestrelspar/cli/standin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 
 import click
@@ -9,7 +10,7 @@
 from kestrelspar.cli.main import Fault
 from kestrelspar.cli.units import DURATION
 from kestrelspar.core import entries
-from kestrelspar.runtime.loop import SECOND, Loop
+from kestrelspar.runtime.loop import MS, SECOND, Loop
 from kestrelspar.settings.kinds import address, value
 from kestrelspar.standins.registry import Member, Store, rough
 
@@ -29,8 +30,9 @@
 @click.option("--seed", type=int, default=1, show_default=True, help="For the schedule.")
 @click.option("--fill", type=click.IntRange(0, 100_000), default=0, help="Begin with so many entries.")
 @click.option("--prefix", default="/kestrelspar/endpoints/", show_default=True, help="Where --fill puts them.")
+@click.option("--churn", type=click.IntRange(0, 10_000), default=0, help="Change so many entries a second.")
 @click.option("--for", "span", type=DURATION, help="End by itself after so long.")
-def registry(listen: str, members: int, schedule: str, every: int, seed: int, fill: int, prefix: str,
+def registry(listen: str, members: int, schedule: str, every: int, seed: int, fill: int, prefix: str, churn: int,
              span: int | None) -> None:
     """A registry that speaks etcd's JSON gateway and Consul's KV, both on each port.
 
@@ -62,7 +64,19 @@
             loop.sleep(SECOND)
             store.lapse(loop.now)
 
+    def change() -> None:
+        pick, begin, done = random.Random(seed), loop.now, 0
+        while True:
+            loop.sleep(10 * MS)
+            due = (loop.now - begin) * churn // SECOND
+            for row in [pick.choice(rows) for _ in range(due - done)]:
+                row.weight = 1.0 + pick.randrange(1_000)
+                store.put(prefix + row.name, entries.encode(row))
+            done = due
+
     loop.spawn(lapse)
+    if churn and rows:
+        loop.spawn(change)
     if span is not None:
         loop.at(loop.now + span, loop.stop)
     try:
--- a/kestrelspar/registry/follower.py
+++ b/kestrelspar/registry/follower.py
@@ -24,7 +24,7 @@
     News,
     Pause,
 )
-from kestrelspar.runtime import logs
+from kestrelspar.runtime import heap, logs
 from kestrelspar.runtime.buffers import BufferPool
 from kestrelspar.runtime.loop import MS, SECOND, Loop
 from kestrelspar.settings.resolve import Registry
@@ -54,6 +54,7 @@
         self._members: list[Etcd | Consul] = []
         self._life = 0  # goes up when the settings change: what was under way for the old ones ends
         self._changed = False  # since the list was last kept
+        self._grown = 0  # entries that the list under way has made
         self._refused = ""  # why the last list could not be kept
         self._connect()
 
@@ -152,8 +153,15 @@
             return
         page = member.page(ask.after, ask.revision, self.told.told.page)
         self._alive(life)
-        self._apply(self.sync.page(self.loop.now, str(page.header.cluster_id), page.header.revision,
-                                   items(page.kvs), page.more), life)
+        before = len(self.belief.held)
+        heap.hold()
+        try:
+            self._apply(self.sync.page(self.loop.now, str(page.header.cluster_id), page.header.revision,
+                                       items(page.kvs), page.more), life)
+        finally:
+            self._grown += len(self.belief.held) - before
+            heap.release(0 if page.more else self._grown)
+            self._grown = self._grown if page.more else 0
 
     def _alive(self, life: int) -> None:
         if life != self._life:
@@ -215,12 +223,17 @@
             member.link.close()  # its body is not read
             self._apply(passed, life)
             return
-        for part in member.parts(head):
+        before = len(self.belief.held)
+        heap.hold()
+        try:
+            for part in member.parts(head):
+                self._alive(life)
+                for at in range(0, len(part), SLICE):
+                    self._apply(sync.part(self.loop.now, part[at : at + SLICE]), life)
             self._alive(life)
-            for at in range(0, len(part), SLICE):
-                self._apply(sync.part(self.loop.now, part[at : at + SLICE]), life)
-        self._alive(life)
-        self._apply(sync.whole(self.loop.now), life)
+            self._apply(sync.whole(self.loop.now), life)
+        finally:
+            heap.release(len(self.belief.held) - before)
 
     # News
 
--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -7,6 +7,7 @@
 
 import math
 import random
+from bisect import bisect_right
 from collections import deque
 from collections.abc import Iterable
 
@@ -62,14 +63,16 @@
 class Limit:
     """This forwarder's pace under a limit; one for a route apart, else for the destination."""
 
+    __slots__ = ("rate", "gap", "spread", "due", "heard", "fulls", "full_since", "sends", "served")
+
     def __init__(self) -> None:
         self.rate = 0.0  # reported, in calls a second from all forwarders; 0: none known
         self.gap = 0.0  # between calls; learnt from refusals and answers, as the others' traffic is not seen
         self.spread = 1.0  # of the next gap on the way back
         self.due = self.heard = 0  # when the calls sent so far are paid off; last news
         self.fulls = self.full_since = 0  # refusals since it last served
-        self.sends: deque[int] = deque()  # within the last fall_ns
-        self.served: deque[int] = deque()  # answers within the last fall_ns
+        self.sends: list[int] = []  # within the last fall_ns
+        self.served: list[int] = []  # answers within the last fall_ns
 
     def learn(self, now: int, refused: bool, even: float = NEVER, crowd: float = 0.0) -> None:
         """Refusals stretch the gap, answers ease it, and time forgets it."""
@@ -107,7 +110,11 @@
 
 
 class Route:
-    """One endpoint."""
+    """One endpoint. Many may be listed that are never sent to, so it must be small."""
+
+    __slots__ = ("id", "dest", "zone", "draw", "rate", "ready", "rank", "patience", "fails", "limit", "inflight",
+                 "wait_until", "bad", "oks", "last_send", "sent_before", "last_ok", "since", "heard", "idle_since",
+                 "mean", "dev", "loss", "down", "timed_out", "failed", "back")
 
     def __init__(self, entry: api.Endpoint, dest: Destination, draw: float):
         self.id, self.dest, self.zone = entry.id, dest, entry.zone
@@ -130,6 +137,9 @@
 class Destination:
     """What waits for one destination, and its routes in their fixed order."""
 
+    __slots__ = ("id", "routes", "queue", "kind", "inflight", "bad", "sick_at", "wake", "tries", "wait_until",
+                 "apart", "limit", "mean")
+
     def __init__(self, id: int):
         self.id = id
         self.routes: list[Route] = []
@@ -478,10 +488,9 @@
         """Calls a second from all forwarders, as answers or the list tell; else that of a small route."""
         return route.limit.rate or (RATE_UNKNOWN if self.s.rate_hint is api.RateHint.NONE else route.rate)
 
-    def _prune(self, times: deque[int]) -> None:
+    def _prune(self, times: list[int]) -> None:
         """Keep what lies within fall_ns."""
-        while times and times[0] <= self.now - self.s.fall_ns:
-            times.popleft()
+        del times[: bisect_right(times, self.now - self.s.fall_ns)]
 
     def _cap(self, dest: Destination) -> int:
         """At most half the slots for one destination, fewer while its calls run long."""
