--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -33,6 +33,8 @@
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.REJECTED)
 
 DELIVERED, FAILED, RETURNED = "delivered", "failed", "returned"
+WITHDRAWN = "withdrawn"  # by the sender side, before it was ever sent
+_WITHDRAW = object()  # the word that a waiting message's task gets then
 
 
 @dataclass(slots=True)
@@ -49,6 +51,7 @@
     key: str = ""  # idempotency key
     extra: dict[str, Any] = field(default_factory=dict)  # of its front, as JSON can hold it
     number: int = 0
+    start: int = 0  # nothing is sent before this time; the deadline counts from it
 
 
 class Reason(Enum):
@@ -110,6 +113,9 @@
     def settle(self, message: Message, end: End) -> None:
         """Tell the end, and return when it has been heard."""
 
+    def took(self, message: Message) -> None:
+        """A message of this side is open again after a restart."""
+
 
 class Hook(Protocol):
     """A plug-in at a message's arrival and end."""
@@ -137,7 +143,7 @@
         self._events: list[api.Event] = []
         self._desks: dict[int, Parking] = {}  # messages whose task waits for the module's next word
         self.open: dict[int, Message] = {}
-        self._known: set[str] = set()  # ids of open messages, and for a while of ended ones
+        self._known: dict[str, Message | None] = {}  # by id: open messages, and for a while ended ones (None)
         self._ended: deque[tuple[int, str]] = deque()  # the latter, and since when
         self.out = 0  # delivery attempts under way
         self._last = max(journal.entries, default=0)
@@ -154,7 +160,8 @@
         if refusal is not None:
             answer(refusal)
             return
-        message.deadline = min(message.deadline, self.loop.now + self.map.within(message.dest))
+        begin = max(self.loop.now, message.start)
+        message.deadline = min(message.deadline, begin + self.map.within(message.dest))
         self._last += 1
         message.number = self._last
         text = ujson.dumps(self._text(message))
@@ -162,19 +169,26 @@
             answer(Answer(False, True, Reason.DISK))
             return
         self.open[message.number] = message
-        self._known.add(message.trace)
+        self._known[message.trace] = message
         if not answer(TAKEN_ON):  # it went away unanswered and may hand it in elsewhere: not ours
             self._over(message)
             return
-        left = max(0, message.deadline - self.loop.now) * NS
-        self._see_through(
-            message, api.Arrival(message.number, message.cls, message.dest, left, message.tenant)
-        )
+        logs.event("taken", logs.DEBUG, trace=message.trace, cls=self.settings.classes[message.cls].name,
+                   dest=message.dest, front=message.sender.name, left_ms=(message.deadline - self.loop.now) // MS)
+        self._see_through(message)
 
-    def _see_through(self, message: Message, event: api.Arrival) -> None:
+    def _see_through(self, message: Message, attempts: int = 0, maybe_since_ns: int | None = None) -> None:
         """From the module's first word on it to its end."""
-        which = event.attempts
-        word = self._ask(message.number, event)
+        which = attempts
+        if message.start > self.loop.now:
+            desk = self._desks[message.number] = Parking(self.loop)
+            if self.loop.park(desk, message.start) is _WITHDRAW:
+                self._end(message, End(WITHDRAWN))
+                return
+            self._desks.pop(message.number, None)
+        left = max(0, message.deadline - self.loop.now) * NS
+        word = self._ask(message.number, api.Arrival(
+            message.number, message.cls, message.dest, left, message.tenant, 0, attempts, maybe_since_ns))
         while isinstance(word, api.Send):
             if self.closing is not None and self.loop.now - self.closing > NO_NEW_ATTEMPTS:
                 return  # the journal has it, and the next process goes on
@@ -191,6 +205,9 @@
             if result.closed:
                 self._over(message)
                 return
+        if word is _WITHDRAW:
+            self._end(message, End(WITHDRAWN))
+            return
         after_ms = -(-word.retry_after_ns // (NS * MS)) if isinstance(word, api.Refuse) else 0
         self._end(message, End(RETURNED if isinstance(word, api.Refuse) else FAILED, after_ms))
 
@@ -213,7 +230,7 @@
             self.out -= 1
         if result.outcome in NEVER_RAN:
             self.journal.not_run(message.number, which)
-        if result.outcome is not Outcome.OK:
+        if result.outcome is not Outcome.OK or logs.shows(logs.DEBUG):
             logs.event("attempt", trace=message.trace, n=which, hop=hop.name, outcome=result.outcome.name.lower(),
                        wait_ms=result.told_wait // MS or None, note=result.note or None,
                        after_ms=(self.loop.now - sent) // MS)
@@ -223,6 +240,8 @@
         """Journal the final answer, tell it, and let go of the message."""
         self.open.pop(message.number, None)
         self.journal.verdict(message.number, end.state, end.after_ms)
+        logs.event("ended", logs.DEBUG if end.state == DELIVERED else logs.INFO, trace=message.trace,
+                   state=end.state, after_ms=end.after_ms or None)
         for hook in self.hooks:
             hook.end(message, end)
         message.sender.settle(message, end)
@@ -232,6 +251,7 @@
         """Nothing is owed for it any more."""
         self.open.pop(message.number, None)
         self._ended.append((self.loop.now, message.trace))
+        self._known[message.trace] = None
         self.journal.done(message.number)
 
     def _door(self, message: Message) -> Answer | None:
@@ -239,7 +259,7 @@
         if self.closing is not None:
             return Answer(False, True, Reason.CLOSING)
         while self._ended and self._ended[0][0] < self.loop.now - KNOWN_FOR:
-            self._known.discard(self._ended.popleft()[1])
+            self._known.pop(self._ended.popleft()[1], None)
         if message.trace in self._known:  # a second message under the id would go out as a second copy
             return Answer(False, False, Reason.DUPLICATE)
         for hook in self.hooks:
@@ -263,6 +283,7 @@
             "sender": message.sender.name, "trace": message.trace, "dest": message.dest, "key": message.key,
             "class": self.settings.classes[message.cls].name,
             "tenant": tenants[message.tenant].name if tenants else "", "extra": message.extra,
+            **({"lead": message.deadline - message.start} if message.start else {}),
         }
 
     # After a restart
@@ -275,7 +296,7 @@
             except (KeyError, ValueError, TypeError, StopIteration) as error:
                 logs.error("journal-unusable", number=entry.number, why=repr(error))
                 continue
-            self._known.add(message.trace)
+            self._known[message.trace] = message
             logs.event("taken-up", trace=message.trace, attempts=entry.attempts,
                        may_have_run=entry.maybe_since is not None, state=entry.verdict or None)
             if entry.verdict:
@@ -283,10 +304,7 @@
                 continue
             self.open[entry.number] = message
             since = None if entry.maybe_since is None else entry.maybe_since * NS
-            left = max(0, entry.deadline - self.loop.now) * NS
-            self.loop.spawn(self._see_through, message, api.Arrival(
-                entry.number, message.cls, message.dest, left, message.tenant, 0, entry.attempts, since
-            ))
+            self.loop.spawn(self._see_through, message, entry.attempts, since)
 
     def _tell_again(self, message: Message, end: End) -> None:
         """The end was decided before the restart and may not have been heard."""
@@ -297,8 +315,44 @@
         text = ujson.loads(entry.text)
         cls = next(i for i, c in enumerate(self.settings.classes) if c.name == text["class"])
         tenant = next((i for i, t in enumerate(self.settings.tenants) if t.name == text["tenant"]), 0)
-        return Message(text["trace"], cls, tenant, int(text["dest"]), entry.deadline, entry.body,
-                       self.senders[text["sender"]], text["key"], text["extra"], entry.number)
+        message = Message(text["trace"], cls, tenant, int(text["dest"]), entry.deadline, entry.body,
+                          self.senders[text["sender"]], text["key"], text["extra"], entry.number)
+        if "lead" in text:  # from the deadline, whose time the journal has carried over to this process's clock
+            message.start = entry.deadline - int(text["lead"])
+        message.sender.took(message)
+        return message
+
+    # What the sender side may ask for later
+
+    def find(self, trace: str) -> Message | None:
+        """The open message of this id."""
+        return self._known.get(trace)
+
+    def untried(self, message: Message) -> bool:
+        """Whether it surely never ran, is not out, and is not about to be."""
+        entry = self.journal.entries.get(message.number)
+        return (entry is not None and not entry.verdict and entry.maybe_since is None
+                and message.number in self._desks and not self._desks[message.number].given)
+
+    def withdraw(self, message: Message) -> bool:
+        """End a message that surely never ran; false where it may have, or is out just now."""
+        if not self.untried(message):
+            return False
+        if message.start <= self.loop.now:
+            self._events.append(api.Withdrawn(message.number))
+        self._desks.pop(message.number).resume(_WITHDRAW)
+        return True
+
+    def replace(self, message: Message, body: bytes, extra: dict[str, Any]) -> bool:
+        """Change a message that was never attempted; false where it was, or the journal has no room."""
+        entry = self.journal.entries.get(message.number)
+        if entry is None or entry.attempts or not self.untried(message):
+            return False
+        text = ujson.dumps(self._text(message) | {"extra": extra})
+        if not self.journal.replaced(message.number, text, body):
+            return False
+        message.body, message.extra = body, extra
+        return True
 
     # The module
 
--- a/kestrelspar/http/notices.py
+++ b/kestrelspar/http/notices.py
@@ -36,6 +36,9 @@
         if self._busy:
             self.loop.spawn(self._tell)
 
+    def took(self, message: Message) -> None:
+        """Nobody asks for a message again over HTTP."""
+
     def settle(self, message: Message, end: End) -> None:
         """Tell the end; a delivered message needs no notice."""
         if end.state == DELIVERED:
--- a/kestrelspar/journal.py
+++ b/kestrelspar/journal.py
@@ -19,7 +19,8 @@
 _ATTEMPT = struct.Struct("<Hq")  # which, and when
 MOST_PAYLOAD = 96 * 1024
 BLOCK = 512
-CLOCK, TAKEN, ATTEMPT, NOT_RUN, VERDICT, DONE = range(1, 7)
+CLOCK, TAKEN, ATTEMPT, NOT_RUN, VERDICT, DONE, ENDED = range(1, 8)
+MOST_ENDED = 0.25  # of the disk, for what is known of ended messages: the oldest go first
 LATER_RECORDS = 256  # room kept for each open message's end
 LATER_ATTEMPT = 64  # and for each of its attempts: that it leaves, and that it never ran
 SHIFT_LEAST = 2_000_000  # a smaller step between the clocks of two processes is the wall clock's correction
@@ -75,6 +76,10 @@
     return struct.pack("<I", after_ms) + state.encode()
 
 
+def _ended(name: str, until: int, text: str) -> bytes:
+    return _record(ENDED, 0, struct.pack("<qI", until, len(name.encode())) + name.encode() + text.encode())
+
+
 def _record(kind: int, number: int, payload: bytes) -> bytes:
     rest = struct.pack("<BQ", kind, number) + payload
     return struct.pack("<II", len(payload), zlib.crc32(rest)) + rest
@@ -94,6 +99,8 @@
         self.entries: dict[int, Entry] = {}
         self._live = 0  # bytes that the open messages take in a fresh file, later records included
         self._weights: dict[int, int] = {}
+        self._ended: dict[str, tuple[int, str]] = {}  # by name: until when (Unix time, microseconds), and what
+        self._ended_live = 0  # bytes of these in a fresh file
         self._size = 0
         self._offset = time.time_ns() // 1000 - time.monotonic_ns() // 1000
         self._spare.unlink(missing_ok=True)  # a compaction that did not come to its rename
@@ -132,6 +139,10 @@
 
     def _replay(self, kind: int, number: int, payload: bytes, shift: int) -> int:
         """Take in one record; returns what to add to the times of those that follow."""
+        if kind == ENDED:
+            until, size = struct.unpack_from("<qI", payload)
+            self._note(payload[12 : 12 + size].decode(), until, payload[12 + size :].decode())
+            return shift
         if kind == CLOCK:
             step = struct.unpack("<q", payload)[0] - self._offset
             return step if abs(step) >= SHIFT_LEAST else 0
@@ -151,11 +162,39 @@
         return shift
 
     def _hold(self, entry: Entry) -> None:
+        self._drop(entry.number)  # a message that was replaced is there a second time
         weight = len(entry.records()) + self._later
         self.entries[entry.number] = entry
         self._weights[entry.number] = weight
         self._live += weight
 
+    def _note(self, name: str, until: int, text: str) -> None:
+        self._forget(name)
+        self._ended[name] = until, text
+        self._ended_live += len(_ended(name, until, text))
+        self._live += len(_ended(name, until, text))
+
+    def _forget(self, name: str) -> None:
+        if name in self._ended:
+            size = len(_ended(name, *self._ended.pop(name)))
+            self._ended_live -= size
+            self._live -= size
+
+    def keep_ended(self, name: str, text: str, span: int) -> None:
+        """Know this of an ended message for so many microseconds, restarts included; where there is room."""
+        now = time.time_ns() // 1000
+        record = _ended(name, now + span, text)
+        while self._ended and (next(iter(self._ended.values()))[0] <= now
+                               or self._ended_live + len(record) > MOST_ENDED * self._limit):
+            self._forget(next(iter(self._ended)))
+        if len(record) <= MOST_PAYLOAD and self._fits(len(record)) and self._append(record):
+            self._note(name, now + span, text)
+
+    def ended(self, name: str) -> str | None:
+        """What is known of an ended message, if it still is."""
+        until, text = self._ended.get(name, (0, ""))
+        return text if until > time.time_ns() // 1000 else None
+
     def _drop(self, number: int) -> None:
         if self.entries.pop(number, None) is not None:
             self._live -= self._weights.pop(number)
@@ -171,7 +210,11 @@
 
     def _compact(self) -> bool:
         """Write what is open to a new file and put it in the old one's place."""
+        now = time.time_ns() // 1000
+        for name in [name for name, (until, _) in self._ended.items() if until <= now]:
+            self._forget(name)
         data = self._clock() + b"".join(entry.records() for entry in self.entries.values())
+        data += b"".join(_ended(name, until, text) for name, (until, text) in self._ended.items())
         if _blocks(self._size) + _blocks(len(data)) > self._limit:
             return False
         file = -1
@@ -218,6 +261,15 @@
         self._hold(Entry(number, text, body, deadline))
         return True
 
+    def replaced(self, number: int, text: str, body: bytes) -> bool:
+        """A message that was never attempted is another one now; false when there is no room, and it is not."""
+        entry = self.entries[number]
+        record = _record(TAKEN, number, _taken(entry.deadline, text, body))
+        if len(record) > MOST_PAYLOAD or not self._fits(len(record)) or not self._append(record):
+            return False
+        self._hold(Entry(number, text, body, entry.deadline))
+        return True
+
     def attempt(self, number: int, which: int, sent: int) -> bool:
         """An attempt is about to leave; false when that could not be written, and then it must not."""
         entry = self.entries.get(number)
--- a/kestrelspar/runtime/heap.py
+++ b/kestrelspar/runtime/heap.py
@@ -1,9 +1,9 @@
 """Keeps the garbage collector's full passes out of the loop where long lists are held.
 
 A full pass looks at every container that is alive: 43 ms with 20,000 endpoints listed, all of them alive, and again
-each time that a quarter of them was made anew. While a list is read the collector rests, as that makes no cycles; after so
-many new entries what is new is looked at once, which is short, and set aside from later passes. What is set aside is
-still freed when its last reference goes.
+each time that a quarter of them was made anew. While a list is read the collector rests, as that makes no cycles;
+after so many new entries what is new is looked at once, which is short, and set aside from later passes. What is set
+aside is still freed when its last reference goes.
 """
 
 from __future__ import annotations
--- a/kestrelspar/runtime/logs.py
+++ b/kestrelspar/runtime/logs.py
@@ -83,6 +83,11 @@
         _logger.log(level, line)
 
 
+def shows(level: int) -> bool:
+    """Whether events of this level are written."""
+    return _logger.isEnabledFor(level)
+
+
 def warn(name: str, **fields: Any) -> None:
     """Log what somebody should look at."""
     event(name, WARNING, **fields)
--- a/kestrelspar/settings/resolve.py
+++ b/kestrelspar/settings/resolve.py
@@ -57,6 +57,7 @@
     service_types: dict[str, int]
     destinations: dict[str, int]  # by prefix of the destination address
     gateways: tuple[Gateway, ...]
+    keep_ended: int = 0  # how long an ended message can be asked for
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,7 +139,7 @@
                 for name, cls in top.service_type.items()}
     look.done()
     return Smpp(top.listen, top.system_id, top.bind_within, top.enquire_link, top.response, top.receipt_hold,
-                top.most_sessions, tuple(accounts), services, dict(top.destination), tuple(gateways))
+                top.most_sessions, tuple(accounts), services, dict(top.destination), tuple(gateways), top.keep_ended)
 
 
 def registries(conf: Conf) -> list[Registry]:
--- a/kestrelspar/smpp/errors.py
+++ b/kestrelspar/smpp/errors.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from kestrelspar.core.courier import DELIVERED, RETURNED, Answer, End, Reason, Result
+from kestrelspar.core.courier import DELIVERED, RETURNED, WITHDRAWN, Answer, End, Reason, Result
 from kestrelspar.smpp.pdu import Status
 from snowlock.interface import Outcome
 
@@ -28,10 +28,12 @@
     Reason.DISK: Status.ESME_RMSGQFUL,
     Reason.PLUGIN: Status.ESME_RTHROTTLED,
     Reason.UNKNOWN_DEST: Status.ESME_RTHROTTLED,
+    Reason.STALE: Status.ESME_RTHROTTLED,
 }
 REJECTIONS = {Reason.UNKNOWN_DEST: Status.ESME_RINVDSTADR}
 
 DELIVRD, EXPIRED, UNDELIV, REJECTD = (2, "DELIVRD"), (3, "EXPIRED"), (5, "UNDELIV"), (8, "REJECTD")
+DELETED = (4, "DELETED")
 
 
 def result(status: int, throttle_wait: int) -> Result:
@@ -55,4 +57,6 @@
         return DELIVRD
     if end.state == RETURNED:
         return REJECTD
+    if end.state == WITHDRAWN:
+        return DELETED
     return EXPIRED if late else UNDELIV
--- a/kestrelspar/smpp/pdu.py
+++ b/kestrelspar/smpp/pdu.py
@@ -20,21 +20,32 @@
     BIND_RECEIVER_RESP = 0x80000001
     BIND_TRANSMITTER = 0x00000002
     BIND_TRANSMITTER_RESP = 0x80000002
+    QUERY_SM = 0x00000003
+    QUERY_SM_RESP = 0x80000003
     SUBMIT_SM = 0x00000004
     SUBMIT_SM_RESP = 0x80000004
     DELIVER_SM = 0x00000005
     DELIVER_SM_RESP = 0x80000005
     UNBIND = 0x00000006
     UNBIND_RESP = 0x80000006
+    REPLACE_SM = 0x00000007
+    REPLACE_SM_RESP = 0x80000007
+    CANCEL_SM = 0x00000008
+    CANCEL_SM_RESP = 0x80000008
     BIND_TRANSCEIVER = 0x00000009
     BIND_TRANSCEIVER_RESP = 0x80000009
     OUTBIND = 0x0000000B
     ENQUIRE_LINK = 0x00000015
     ENQUIRE_LINK_RESP = 0x80000015
+    SUBMIT_MULTI = 0x00000021
+    SUBMIT_MULTI_RESP = 0x80000021
+    ALERT_NOTIFICATION = 0x00000102
+    DATA_SM = 0x00000103
+    DATA_SM_RESP = 0x80000103
 
 
 class Status(IntEnum):
-    """The command_status values that are used here."""
+    """The command_status values of SMPP 3.4, section 5.1.3."""
 
     ESME_ROK = 0x00
     ESME_RINVMSGLEN = 0x01
@@ -42,24 +53,69 @@
     ESME_RINVCMDID = 0x03
     ESME_RINVBNDSTS = 0x04
     ESME_RALYBND = 0x05
+    ESME_RINVPRTFLG = 0x06
+    ESME_RINVREGDLVFLG = 0x07
     ESME_RSYSERR = 0x08
+    ESME_RINVSRCADR = 0x0A
     ESME_RINVDSTADR = 0x0B
+    ESME_RINVMSGID = 0x0C
     ESME_RBINDFAIL = 0x0D
     ESME_RINVPASWD = 0x0E
     ESME_RINVSYSID = 0x0F
+    ESME_RCANCELFAIL = 0x11
+    ESME_RREPLACEFAIL = 0x13
     ESME_RMSGQFUL = 0x14
     ESME_RINVSERTYP = 0x15
+    ESME_RINVNUMDESTS = 0x33
+    ESME_RINVDLNAME = 0x34
+    ESME_RINVDESTFLAG = 0x40
+    ESME_RINVSUBREP = 0x42
+    ESME_RINVESMCLASS = 0x43
+    ESME_RCNTSUBDL = 0x44
     ESME_RSUBMITFAIL = 0x45
+    ESME_RINVSRCTON = 0x48
+    ESME_RINVSRCNPI = 0x49
+    ESME_RINVDSTTON = 0x50
+    ESME_RINVDSTNPI = 0x51
+    ESME_RINVSYSTYP = 0x53
+    ESME_RINVREPFLAG = 0x54
+    ESME_RINVNUMMSGS = 0x55
     ESME_RTHROTTLED = 0x58
     ESME_RINVSCHED = 0x61
     ESME_RINVEXPIRY = 0x62
+    ESME_RINVDFTMSGID = 0x63
+    ESME_RX_T_APPN = 0x64
+    ESME_RX_P_APPN = 0x65
+    ESME_RX_R_APPN = 0x66
+    ESME_RQUERYFAIL = 0x67
     ESME_RINVOPTPARSTREAM = 0xC0
     ESME_ROPTPARNOTALLWD = 0xC1
     ESME_RINVPARLEN = 0xC2
+    ESME_RMISSINGOPTPARAM = 0xC3
+    ESME_RINVOPTPARAMVAL = 0xC4
+    ESME_RDELIVERYFAILURE = 0xFE
+    ESME_RUNKNOWNERR = 0xFF
+
+
+class State(IntEnum):
+    """message_state, section 5.2.28; SCHEDULED is 5.0's."""
+
+    SCHEDULED = 0
+    ENROUTE = 1
+    DELIVERED = 2
+    EXPIRED = 3
+    DELETED = 4
+    UNDELIVERABLE = 5
+    ACCEPTED = 6
+    UNKNOWN = 7
+    REJECTED = 8
 
 
 RECEIPTED_MESSAGE_ID, MESSAGE_STATE, MESSAGE_PAYLOAD = 0x001E, 0x0427, 0x0424
 SC_INTERFACE_VERSION = 0x0210
+SAR_MSG_REF_NUM, SAR_TOTAL_SEGMENTS, SAR_SEGMENT_SEQNUM = 0x020C, 0x020E, 0x020F
+CONGESTION_STATE = 0x0428  # 5.0: 0 idle to 99 congested, 100 full
+MOST_DESTS = 254  # of a submit_multi
 RETRY_AFTER_MS = 0x1401  # in the range for vendors: when a returned message may be handed in again
 
 # A number: the most bytes of a C-octet string, its end included. 0: an integer of one byte.
@@ -71,14 +127,32 @@
        ("protocol_id", 0), ("priority_flag", 0), ("schedule_delivery_time", 17), ("validity_period", 17),
        ("registered_delivery", 0), ("replace_if_present_flag", 0), ("data_coding", 0),
        ("sm_default_msg_id", 0))
+_SOURCE = (("source_addr_ton", 0), ("source_addr_npi", 0), ("source_addr", 21))
+_DEST = (("dest_addr_ton", 0), ("dest_addr_npi", 0), ("destination_addr", 21))
+_DATA = (("service_type", 6), ("source_addr_ton", 0), ("source_addr_npi", 0), ("source_addr", 65),
+         ("dest_addr_ton", 0), ("dest_addr_npi", 0), ("destination_addr", 65), ("esm_class", 0),
+         ("registered_delivery", 0), ("data_coding", 0))
+_DESTS, _UNSUCCESS = -1, -2  # a submit_multi's destinations; those of its response that were not taken
 _FIELDS: dict[Command, tuple[tuple[str, int], ...]] = {
     Command.BIND_RECEIVER: _BIND, Command.BIND_TRANSMITTER: _BIND, Command.BIND_TRANSCEIVER: _BIND,
     Command.BIND_RECEIVER_RESP: _BIND_RESP, Command.BIND_TRANSMITTER_RESP: _BIND_RESP,
     Command.BIND_TRANSCEIVER_RESP: _BIND_RESP, Command.OUTBIND: _BIND[:2],
     Command.SUBMIT_SM: _SM, Command.DELIVER_SM: _SM,
     Command.SUBMIT_SM_RESP: (("message_id", 65),), Command.DELIVER_SM_RESP: (("message_id", 65),),
+    Command.QUERY_SM: (("message_id", 65), *_SOURCE),
+    Command.QUERY_SM_RESP: (("message_id", 65), ("final_date", 17), ("message_state", 0), ("error_code", 0)),
+    Command.CANCEL_SM: (("service_type", 6), ("message_id", 65), *_SOURCE, *_DEST),
+    Command.REPLACE_SM: (("message_id", 65), *_SOURCE, ("schedule_delivery_time", 17), ("validity_period", 17),
+                         ("registered_delivery", 0), ("sm_default_msg_id", 0)),
+    Command.DATA_SM: _DATA, Command.DATA_SM_RESP: (("message_id", 65),),
+    Command.SUBMIT_MULTI: (_SM[0], *_SOURCE, ("dests", _DESTS), *_SM[7:]),
+    Command.SUBMIT_MULTI_RESP: (("message_id", 65), ("unsuccess", _UNSUCCESS)),
+    Command.ALERT_NOTIFICATION: (("source_addr_ton", 0), ("source_addr_npi", 0), ("source_addr", 65),
+                                 ("esme_addr_ton", 0), ("esme_addr_npi", 0), ("esme_addr", 65)),
 }
+_HAVE_SM = frozenset({Command.SUBMIT_SM, Command.DELIVER_SM, Command.SUBMIT_MULTI, Command.REPLACE_SM})
 SM_FIELDS = tuple(name for name, _ in _SM)
+DATA_FIELDS = tuple(name for name, _ in _DATA)
 
 
 class BadLength(Exception):
@@ -93,6 +167,26 @@
         self.command, self.sequence, self.status = command, sequence, status
 
 
+@dataclass(frozen=True, slots=True)
+class Dest:
+    """One destination of a submit_multi: an address, or the name of a distribution list."""
+
+    addr: str
+    ton: int = 0
+    npi: int = 0
+    is_list: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Unsuccess:
+    """A destination of a submit_multi that was not taken, and why."""
+
+    addr: str
+    ton: int = 0
+    npi: int = 0
+    status: int = Status.ESME_RSUBMITFAIL
+
+
 @dataclass(slots=True)
 class Pdu:
     """One PDU. Integer fields that are absent count as 0, strings as empty."""
@@ -103,6 +197,8 @@
     fields: dict[str, Any] = field(default_factory=dict)
     message: bytes = b""  # short_message
     tlvs: list[tuple[int, bytes]] = field(default_factory=list)
+    dests: list[Dest] = field(default_factory=list)  # of a submit_multi
+    unsuccess: list[Unsuccess] = field(default_factory=list)  # of its response
 
     def text(self, name: str) -> str:
         """A C-octet string."""
@@ -121,19 +217,35 @@
         return Pdu(Command(self.command | RESPONSE), self.sequence, status, fields)
 
 
+def _c_octet(name: str, value: str, most: int) -> bytes:
+    text = value.encode("latin-1")
+    if len(text) >= most or b"\0" in text:
+        raise ValueError(f"{name} is too long or holds a zero byte")
+    return text + b"\0"
+
+
 def encode(pdu: Pdu) -> bytes:
     """The PDU's bytes. ``ValueError`` where a field is too long."""
     parts = []
     bare = pdu.command & RESPONSE and pdu.status  # the body is not returned with an error
     for name, most in () if bare else _FIELDS.get(pdu.command, ()):
-        if not most:
+        if most == _DESTS:
+            if not 0 < len(pdu.dests) <= MOST_DESTS:
+                raise ValueError(f"{len(pdu.dests)} destinations")
+            parts.append(bytes([len(pdu.dests)]))
+            for dest in pdu.dests:
+                parts.append(b"\2" if dest.is_list else bytes([1, dest.ton, dest.npi]))
+                parts.append(_c_octet(name, dest.addr, 21))
+        elif most == _UNSUCCESS:
+            parts.append(bytes([len(pdu.unsuccess)]))
+            for lost in pdu.unsuccess:
+                parts.append(bytes([lost.ton, lost.npi]) + _c_octet(name, lost.addr, 21))
+                parts.append(lost.status.to_bytes(4, "big"))
+        elif not most:
             parts.append(bytes([pdu.number(name)]))
-            continue
-        text = pdu.text(name).encode("latin-1")
-        if len(text) >= most or b"\0" in text:
-            raise ValueError(f"{name} is too long or holds a zero byte")
-        parts.append(text + b"\0")
-    if pdu.command in (Command.SUBMIT_SM, Command.DELIVER_SM):
+        else:
+            parts.append(_c_octet(name, pdu.text(name), most))
+    if pdu.command in _HAVE_SM:
         if len(pdu.message) > 254:
             raise ValueError("short_message is too long")
         parts.append(bytes([len(pdu.message)]) + pdu.message)
@@ -169,17 +281,38 @@
     def bad(text: str, status: Status = Status.ESME_RINVPARLEN) -> BadPdu:
         return BadPdu(text, command, sequence, status)
 
-    for name, most in _FIELDS.get(known, ()):
-        if not most:
-            if at >= size:
-                raise bad(f"{name} is missing")
-            pdu.fields[name], at = data[at], at + 1
-            continue
+    def integer(name: str, width: int = 1) -> int:
+        nonlocal at
+        if at + width > size:
+            raise bad(f"{name} is missing")
+        at += width
+        return int.from_bytes(data[at - width : at], "big")
+
+    def text(name: str, most: int) -> str:
+        nonlocal at
         end = data.find(b"\0", at, at + most)
         if end < 0:
             raise bad(f"{name} has no end")
-        pdu.fields[name], at = data[at:end].decode("latin-1"), end + 1
-    if known in (Command.SUBMIT_SM, Command.DELIVER_SM):
+        begin, at = at, end + 1
+        return data[begin:end].decode("latin-1")
+
+    for name, most in _FIELDS.get(known, ()):
+        if most == _DESTS:
+            for _ in range(integer(name)):
+                flag = integer("dest_flag")
+                if flag not in (1, 2):
+                    raise bad(f"dest_flag {flag}", Status.ESME_RINVDESTFLAG)
+                ton, npi = (integer("dest_addr_ton"), integer("dest_addr_npi")) if flag == 1 else (0, 0)
+                pdu.dests.append(Dest(text("destination_addr", 21), ton, npi, flag == 2))
+            if not 0 < len(pdu.dests) <= MOST_DESTS:
+                raise bad(f"{len(pdu.dests)} destinations", Status.ESME_RINVNUMDESTS)
+        elif most == _UNSUCCESS:
+            for _ in range(integer(name)):
+                ton, npi = integer("dest_addr_ton"), integer("dest_addr_npi")
+                pdu.unsuccess.append(Unsuccess(text("destination_addr", 21), ton, npi, integer("status", 4)))
+        else:
+            pdu.fields[name] = text(name, most) if most else integer(name)
+    if known in _HAVE_SM:
         if at >= size or at + 1 + data[at] > size:
             raise bad("short_message is cut short", Status.ESME_RINVMSGLEN)
         pdu.message, at = data[at + 1 : at + 1 + data[at]], at + 1 + data[at]
--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -7,25 +7,30 @@
 import re
 import socket
 import time
+from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
 
+import ujson
+
 from kestrelspar.core.courier import DELIVERED, Answer, Courier, End, Message
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, Late, Stream
 from kestrelspar.runtime.loop import LATE, MS, SECOND, Loop, Parking
 from kestrelspar.settings.resolve import Account, Smpp
-from kestrelspar.smpp import errors
+from kestrelspar.smpp import errors, table
 from kestrelspar.smpp import pdu as p
 from kestrelspar.smpp.pdu import Command, Pdu, Status
 from kestrelspar.smpp.session import Lost, NotSent, Session
+from kestrelspar.smpp.table import BINDS, Bound, Side
 
 MOST_BODY = 64 * 1024
+_TEXTS = {"service_type", "source_addr", "destination_addr", "schedule_delivery_time", "validity_period"}
 MOST_TLVS = 8 * 1024
 SPARED = 50 * MS  # a connection that new may just be about to bind
 MOST_REFUSED = 3  # binds on one connection
 WAIT_FIRST, WAIT_MOST = 100 * MS, 5 * SECOND
-SENDS = (Command.BIND_TRANSMITTER, Command.BIND_TRANSCEIVER)
-RECEIVES = (Command.BIND_RECEIVER, Command.BIND_TRANSCEIVER)
+RECEIVES = (Bound.RX, Bound.TRX)
+MOST_AHEAD = 30 * 86_400 * SECOND  # a schedule_delivery_time further off is refused
 _TIME = re.compile(r"(\d\d)(\d\d)(\d\d)(\d\d)(\d\d)(\d\d)(\d)(\d\d)([+\-R])")
 
 
@@ -51,7 +56,7 @@
     def __init__(self, session: Session) -> None:
         self.session = session
         self.account: Account | None = None
-        self.bound: Command | None = None
+        self.state = Bound.OPEN
         self.handing = 0  # submit_sm without an answer yet
         self.refused = 0  # binds
         self.since = session.loop.now
@@ -66,6 +71,10 @@
         self.loop, self.buffers, self.courier, self.told = loop, buffers, courier, told
         self._guests: list[Guest] = []
         self._hopeful: list[Parking] = []  # receipts that wait for somebody to bind
+        self._open: dict[str, dict[int, Message]] = {}  # by the id that their sender knows, and their number
+        self._operations: dict[Command, Callable[[Account, Pdu], Pdu]] = {
+            Command.QUERY_SM: self._query, Command.CANCEL_SM: self._cancel, Command.REPLACE_SM: self._replace,
+        }
 
     def accept(self, listener: socket.socket) -> None:
         """Take connections for as long as the process runs."""
@@ -90,7 +99,7 @@
     def _make_room(self) -> bool:
         """Close the oldest connection that has not bound: silent ones must not keep contractors out."""
         for guest in self._guests:
-            if guest.bound is None and not guest.session.closed and guest.since <= self.loop.now - SPARED:
+            if guest.state is Bound.OPEN and not guest.session.closed and guest.since <= self.loop.now - SPARED:
                 logs.event("smpp-closed-unbound", peer=guest.session.name)
                 guest.session.close()
                 return True
@@ -101,7 +110,7 @@
         guest = Guest(Session(self.loop, stream, name, self.told.enquire, self.told.response))
         self._guests.append(guest)
         init = self.loop.at(self.loop.now + self.told.bind_within,
-                            lambda: None if guest.bound else guest.session.close())
+                            lambda: guest.session.close() if guest.state is Bound.OPEN else None)
         try:
             guest.session.run(lambda pdu: self._handle(guest, pdu))
         finally:
@@ -109,14 +118,20 @@
             self._guests.remove(guest)
 
     def _handle(self, guest: Guest, pdu: Pdu) -> None:
-        if pdu.command in (*SENDS, *RECEIVES):
+        refused = table.refusal(Side.CENTRE, guest.state, pdu)
+        if refused is not None:
+            guest.session.post(refused)
+        elif pdu.command in BINDS:
             self._bind(guest, pdu)
-        elif pdu.command is not Command.SUBMIT_SM:
-            guest.session.post(Pdu(Command.GENERIC_NACK, pdu.sequence, Status.ESME_RINVCMDID))
-        elif guest.bound not in SENDS or guest.account is None:
+        elif guest.account is None:
             guest.session.post(pdu.reply(Status.ESME_RINVBNDSTS))
+        elif pdu.command in self._operations:
+            guest.session.post(self._operations[pdu.command](guest.account, pdu))
         elif guest.handing >= guest.account.window:
             guest.session.post(pdu.reply(Status.ESME_RTHROTTLED))
+        elif pdu.command is Command.SUBMIT_MULTI:
+            guest.handing += 1
+            self.loop.spawn(self._hand_in_all, guest, guest.account, pdu)
         else:
             guest.handing += 1
             self.loop.spawn(self._hand_in, guest, guest.account, pdu)
@@ -124,16 +139,14 @@
     def _bind(self, guest: Guest, pdu: Pdu) -> None:
         account = next((a for a in self.told.accounts if a.system_id == pdu.text("system_id")), None)
         status = Status.ESME_ROK
-        if guest.bound is not None:
-            status = Status.ESME_RALYBND
-        elif account is None:
+        if account is None:
             status = Status.ESME_RINVSYSID
         elif not hmac.compare_digest(account.password.encode(), pdu.text("password").encode()):
             status = Status.ESME_RINVPASWD
         elif self.courier.closing is not None:
             status = Status.ESME_RBINDFAIL
         if status is Status.ESME_ROK:
-            guest.account, guest.bound = account, pdu.command
+            guest.account, guest.state = account, BINDS[pdu.command]
             guest.session.name = f"{pdu.text('system_id')}@{guest.session.name}"
         else:
             guest.refused += 1
@@ -141,11 +154,11 @@
                       status=status.name)
         answer = pdu.reply(status, system_id=self.told.system_id)
         answer.tlvs.append((p.SC_INTERFACE_VERSION, b"\x34"))
-        if guest.session.post(answer) and guest.bound in RECEIVES:
+        if guest.session.post(answer) and guest.state in RECEIVES:
             for parking in self._hopeful:
                 parking.resume()
             self._hopeful.clear()
-        if guest.refused >= MOST_REFUSED and guest.bound is None:  # guessing, or asking again without end
+        if guest.refused >= MOST_REFUSED and guest.state is Bound.OPEN:  # guessing, or asking again without end
             guest.session.close()
 
     def _hand_in(self, guest: Guest, account: Account, pdu: Pdu) -> None:
@@ -168,12 +181,82 @@
                 return False
             # A client that is gone did not hear that its message is taken on, and will hand it in again.
             here = not guest.session.stream.ended()
-            return here and guest.session.post(pdu.reply(message_id=message.trace))
+            return self._taken(message, here and guest.session.post(pdu.reply(message_id=message.trace)))
 
         self.courier.carry(message, answer)
 
-    def _message(self, account: Account, pdu: Pdu) -> Message:
-        """The message in a submit_sm."""
+    def _taken(self, message: Message, heard: bool) -> bool:
+        """A message is ours if its sender has heard that it is."""
+        if heard:
+            self.took(message)
+        return heard
+
+    def _hand_in_all(self, guest: Guest, account: Account, pdu: Pdu) -> None:
+        """A submit_multi: each destination is a message of its own, under one id; one response when all are known."""
+        shown, lost = os.urandom(8).hex(), []
+        made: list[tuple[p.Dest, Message]] = []
+        for place, dest in enumerate(pdu.dests):
+            one = Pdu(Command.SUBMIT_SM, pdu.sequence, 0, pdu.fields | {
+                "dest_addr_ton": dest.ton, "dest_addr_npi": dest.npi, "destination_addr": dest.addr,
+            }, pdu.message, pdu.tlvs)
+            try:
+                if dest.is_list:
+                    raise _Refused(Status.ESME_RINVDLNAME)  # no lists are kept here
+                made.append((dest, self._message(account, one, f"{shown}-{place}", shown)))
+            except _Refused as error:
+                lost.append(p.Unsuccess(dest.addr, dest.ton, dest.npi, error.status))
+        waiting: list[tuple[Message, Parking]] = []
+        left = [len(made)]
+        told = Parking(self.loop)
+
+        def respond() -> None:
+            """When all have been decided: what was taken is ours only if this is heard."""
+            guest.handing -= 1
+            here = not guest.session.stream.ended()
+            if waiting:
+                answer = pdu.reply(message_id=shown)
+                answer.unsuccess = lost
+            else:
+                answer = pdu.reply(lost[0].status if lost else Status.ESME_RSUBMITFAIL)
+            heard = here and guest.session.post(answer)
+            for message, parking in waiting:
+                parking.resume(self._taken(message, heard))
+
+        def decided() -> None:
+            left[0] -= 1
+            if not left[0]:
+                told.resume()
+
+        def hand_in(dest: p.Dest, message: Message) -> None:
+            asked: list[bool] = []
+
+            def answer(given: Answer) -> bool:
+                asked.append(True)
+                decided()
+                if not given.taken:
+                    logs.event("deferred" if given.defer else "rejected", trace=message.trace, why=given.reason,
+                               front="smpp")
+                    lost.append(p.Unsuccess(dest.addr, dest.ton, dest.npi, errors.status(given)))
+                    return False
+                parking = Parking(self.loop)
+                waiting.append((message, parking))
+                return bool(self.loop.park(parking))
+
+            try:
+                self.courier.carry(message, answer)
+            finally:
+                if not asked:  # a fault on the way: the others' response must not wait for it
+                    lost.append(p.Unsuccess(dest.addr, dest.ton, dest.npi, Status.ESME_RSYSERR))
+                    decided()
+
+        for dest, message in made:
+            self.loop.spawn(hand_in, dest, message)
+        if made:
+            self.loop.park(told)
+        respond()
+
+    def _message(self, account: Account, pdu: Pdu, trace: str = "", shown: str = "") -> Message:
+        """The message in a submit_sm or data_sm. ``shown``: the id that its sender is told, where it is another."""
         settings = self.courier.settings
         payload = pdu.tlv(p.MESSAGE_PAYLOAD)
         body = pdu.message if payload is None else payload
@@ -182,8 +265,7 @@
         tlvs = [(tag, value.hex()) for tag, value in pdu.tlvs if tag != p.MESSAGE_PAYLOAD]
         if sum(len(value) for _, value in tlvs) > 2 * MOST_TLVS:
             raise _Refused(Status.ESME_ROPTPARNOTALLWD)
-        if pdu.text("schedule_delivery_time"):
-            raise _Refused(Status.ESME_RINVSCHED)
+        start = self._scheduled(pdu.text("schedule_delivery_time"))
         service = pdu.text("service_type")
         cls = self.told.service_types.get(service, account.cls if not service else None)
         if cls is None:
@@ -199,17 +281,101 @@
         prefix = max((x for x in self.told.destinations if address.startswith(x)), key=len, default=None)
         if prefix is None:
             raise _Refused(Status.ESME_RINVDSTADR)
-        trace = os.urandom(8).hex()
+        trace = trace or os.urandom(8).hex()
         extra = {
-            "smpp": {name: pdu.fields[name] for name in p.SM_FIELDS}, "tlvs": tlvs,
+            "smpp": {name: pdu.fields.get(name, "" if name in _TEXTS else 0) for name in p.SM_FIELDS}, "tlvs": tlvs,
             "account": account.system_id, "payload": payload is not None, "submitted": int(time.time()),
+            **({"shown": shown} if shown else {}),
         }
-        deadline = self.loop.now + min(most, left if left is not None else most)
+        begin = max(self.loop.now, start)
+        deadline = begin + most if left is None else min(begin + most, self.loop.now + left)
+        if deadline <= begin:
+            raise _Refused(Status.ESME_RINVEXPIRY)
         return Message(trace, cls, account.tenant, self.told.destinations[prefix], deadline, body, self,
-                       trace, extra)
+                       trace, extra, start=start)
+
+    def _scheduled(self, text: str) -> int:
+        """When a message may first be sent; 0: at once."""
+        try:
+            ahead = validity(text, datetime.now(UTC))
+        except (ValueError, OverflowError):
+            raise _Refused(Status.ESME_RINVSCHED) from None
+        if ahead is None:
+            return 0
+        if not 0 < ahead <= MOST_AHEAD:
+            raise _Refused(Status.ESME_RINVSCHED)
+        return self.loop.now + ahead
+
+    # What is asked about messages that were taken on
+
+    def took(self, message: Message) -> None:
+        """A message of ours is open."""
+        self._open.setdefault(_shown(message), {})[message.number] = message
+
+    def _let_go(self, message: Message) -> None:
+        found = self._open.get(_shown(message), {})
+        found.pop(message.number, None)
+        if not found:
+            self._open.pop(_shown(message), None)
+
+    def _named(self, account: Account, pdu: Pdu) -> list[Message]:
+        """The open messages of this account that a PDU names by id, each only for the address that sent it."""
+        found = self._open.get(pdu.text("message_id"), {}).values()
+        return [m for m in found if m.extra["account"] == account.system_id
+                and pdu.text("source_addr") == m.extra["smpp"]["source_addr"]]
+
+    def _query(self, account: Account, pdu: Pdu) -> Pdu:
+        """query_sm: an open message is on its way; an ended one is known for ``keep-ended``."""
+        if self._named(account, pdu):
+            return pdu.reply(message_id=pdu.text("message_id"), message_state=p.State.ENROUTE)
+        row = self.courier.journal.ended(f"{account.system_id} {pdu.text('message_id')}")
+        told = ujson.loads(row) if row is not None else None
+        if told is None or told["source"] != pdu.text("source_addr"):
+            return pdu.reply(Status.ESME_RQUERYFAIL if told else Status.ESME_RINVMSGID)
+        final = datetime.fromtimestamp(told["at"], UTC).strftime("%y%m%d%H%M%S000+")
+        return pdu.reply(message_id=pdu.text("message_id"), message_state=told["state"], final_date=final)
+
+    def _cancel(self, account: Account, pdu: Pdu) -> Pdu:
+        """cancel_sm: by id, or all from one address to another; only what surely never ran is withdrawn."""
+        if pdu.text("message_id"):
+            found = self._named(account, pdu)
+            if not found:
+                return pdu.reply(Status.ESME_RINVMSGID)
+        else:
+            wanted = {name: pdu.text(name) for name in ("source_addr", "destination_addr", "service_type")}
+            wanted = {name: value for name, value in wanted.items() if value or name != "service_type"}
+            found = [m for group in self._open.values() for m in group.values()
+                     if m.extra["account"] == account.system_id
+                     and all(m.extra["smpp"][name] == value for name, value in wanted.items())]
+        able = [m for m in found if self.courier.untried(m)]
+        done = [self.courier.withdraw(m) for m in able]
+        # By id all of it must go, by addresses whatever still can.
+        good = bool(done) and all(done) and (len(able) == len(found) or not pdu.text("message_id"))
+        return pdu.reply(Status.ESME_ROK if good else Status.ESME_RCANCELFAIL)
+
+    def _replace(self, account: Account, pdu: Pdu) -> Pdu:
+        """replace_sm: another text for a message that was never attempted. Its times and destination stay."""
+        found = self._named(account, pdu)
+        if not found:
+            return pdu.reply(Status.ESME_RINVMSGID)
+        if pdu.text("schedule_delivery_time") or pdu.text("validity_period"):
+            return pdu.reply(Status.ESME_RREPLACEFAIL)  # the deadline that was promised stays
+        for message in found:
+            told = message.extra["smpp"] | {"registered_delivery": pdu.number("registered_delivery"),
+                                            "sm_default_msg_id": pdu.number("sm_default_msg_id")}
+            extra = message.extra | {"smpp": told, "payload": False}
+            if not self.courier.replace(message, pdu.message, extra):
+                return pdu.reply(Status.ESME_RREPLACEFAIL)
+        return pdu.reply()
 
     def settle(self, message: Message, end: End) -> None:
         """Send the receipt, and again until it is acknowledged, on whichever session can take it."""
+        self._let_go(message)
+        if self.told.keep_ended:
+            number, _ = errors.state(end, self.loop.now >= message.deadline - 100 * MS)
+            row = {"state": number, "at": int(time.time()), "source": message.extra["smpp"]["source_addr"]}
+            self.courier.journal.keep_ended(f"{message.extra['account']} {_shown(message)}", ujson.dumps(row),
+                                            self.told.keep_ended)
         wanted = int(message.extra["smpp"].get("registered_delivery", 0)) & 3
         if not wanted or wanted == 2 and end.state == DELIVERED:
             return
@@ -217,7 +383,7 @@
         late = self.loop.now >= message.deadline - 100 * MS
         give_up, wait = self.loop.now + self.told.receipt_hold, WAIT_FIRST
         while self.loop.now < give_up:
-            guest = next((g for g in self._guests if g.bound in RECEIVES and g.account is not None
+            guest = next((g for g in self._guests if g.state in RECEIVES and g.account is not None
                           and g.account.system_id == account and not g.session.closed
                           and g.session.outstanding < g.account.window), None)
             if guest is None:
@@ -244,10 +410,11 @@
         told = message.extra["smpp"]
         number, word = errors.state(end, late)
         submitted = datetime.fromtimestamp(message.extra.get("submitted", 0), UTC)
-        text = (f"id:{message.trace} sub:001 dlvrd:{int(end.state == DELIVERED):03d} "
+        text = (f"id:{_shown(message)} sub:001 dlvrd:{int(end.state == DELIVERED):03d} "
                 f"submit date:{submitted:%y%m%d%H%M} done date:{datetime.now(UTC):%y%m%d%H%M} "
                 f"stat:{word} err:000 text:")
-        tlvs = [(p.RECEIPTED_MESSAGE_ID, message.trace.encode() + b"\0"), (p.MESSAGE_STATE, bytes([number]))]
+        shown = _shown(message)
+        tlvs = [(p.RECEIPTED_MESSAGE_ID, shown.encode() + b"\0"), (p.MESSAGE_STATE, bytes([number]))]
         if end.after_ms:
             tlvs.append((p.RETRY_AFTER_MS, end.after_ms.to_bytes(4, "big")))
         fields = {
@@ -263,6 +430,11 @@
             self.loop.spawn(guest.session.unbind)
 
 
+def _shown(message: Message) -> str:
+    """The id that the sender knows a message by."""
+    return str(message.extra.get("shown", message.trace))
+
+
 class _Refused(Exception):
     """A submit_sm that is answered with an error."""
 
--- /dev/null
+++ b/tests/smpp/test_operations.py
@@ -0,0 +1,237 @@
+"""SMPP's operations on messages that were taken on, and each PDU in each state of a session."""
+
+from __future__ import annotations
+
+import dataclasses
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import settings
+
+from kestrelspar.runtime.loop import SECOND
+from kestrelspar.smpp import pdu as p
+from kestrelspar.smpp import table
+from kestrelspar.smpp.pdu import Command, Dest, Pdu, State, Status
+from kestrelspar.smpp.table import Bound, Side
+from tests.smpp_standins import StandInContractor, StandInGateway, gateway
+from tests.test_smpp import Stage
+
+FIXED = settings(derandomize=True, deadline=None, max_examples=150)
+BINDS = {Bound.TX: Command.BIND_TRANSMITTER, Bound.RX: Command.BIND_RECEIVER, Bound.TRX: Command.BIND_TRANSCEIVER}
+
+
+def asked(stage: Stage, contractor: StandInContractor, command: Command, message: bytes = b"",
+          tlvs: list[tuple[int, bytes]] | None = None, dests: list[Dest] | None = None, **fields: Any) -> Pdu:
+    """One request and its response."""
+    before = len(contractor.answers)
+    contractor.sequence += 1
+    request = Pdu(command, contractor.sequence, 0, fields, message, tlvs or [], dests or [])
+    stage.loop.spawn(lambda: contractor.stream.write(p.encode(request), None))
+    stage.until(lambda: len(contractor.answers) > before)
+    return contractor.answers[-1]
+
+
+def submitted(stage: Stage, contractor: StandInContractor, text: bytes = b"x", service: str = "WO",
+              **fields: Any) -> str:
+    answer = asked(stage, contractor, Command.SUBMIT_SM, text, service_type=service, source_addr="100",
+                   destination_addr=fields.pop("destination_addr", "3725550"), registered_delivery=1, **fields)
+    assert answer.status == 0, answer
+    return answer.text("message_id")
+
+
+def named(stage: Stage, contractor: StandInContractor, command: Command, name: str, message: bytes = b"",
+          source: str = "100") -> Pdu:
+    return asked(stage, contractor, command, message, message_id=name, source_addr=source)
+
+
+def state(stage: Stage, contractor: StandInContractor, name: str) -> int:
+    answer = named(stage, contractor, Command.QUERY_SM, name)
+    return answer.number("message_state") if answer.status == 0 else -answer.status
+
+
+def keeps(stage: Stage, span: int = 60 * SECOND) -> Stage:
+    stage.server.told = dataclasses.replace(stage.server.told, keep_ended=span)
+    return stage
+
+
+@pytest.mark.parametrize("bound", list(Bound))
+@pytest.mark.parametrize("command", table.requests(), ids=lambda c: c.name.lower())
+def test_every_request_in_every_state_has_its_answer(tmp_path: Path, command: Command, bound: Bound) -> None:
+    stage = Stage(tmp_path)
+    stage.open()
+    contractor = stage.contractor(BINDS.get(bound, Command.BIND_TRANSCEIVER),
+                                  "secret" if bound is not Bound.OPEN else "wrong")
+    request = Pdu(command, 7, 0, {"message_id": "none"}, dests=[Dest("1")])
+    expected = table.refusal(Side.CENTRE, bound, request)
+    answer = asked(stage, contractor, command, dests=[Dest("1")], message_id="none")
+    if expected is None:
+        assert answer.command == command | p.RESPONSE and answer.status not in (
+            Status.ESME_RINVBNDSTS, Status.ESME_RINVCMDID, Status.ESME_RALYBND)
+    else:
+        assert (answer.command, answer.status) == (expected.command, expected.status)
+    assert table.refusal(Side.ESME, bound, request) is None or command not in (Command.UNBIND, Command.ENQUIRE_LINK)
+
+
+def test_the_table_serves_what_the_specification_lists() -> None:
+    # SMPP 3.4, table 2-1: who may send what in which state.
+    def served(side: Side, command: Command) -> set[str]:
+        return {bound.name for bound in Bound if table.refusal(side, bound, Pdu(command)) is None}
+
+    for command in (Command.SUBMIT_SM, Command.SUBMIT_MULTI, Command.DATA_SM, Command.QUERY_SM, Command.CANCEL_SM,
+                    Command.REPLACE_SM):
+        assert served(Side.CENTRE, command) == {"TX", "TRX"}
+    for command in (Command.DELIVER_SM, Command.DATA_SM, Command.ALERT_NOTIFICATION):
+        assert served(Side.ESME, command) == {"RX", "TRX"}
+    assert served(Side.ESME, Command.OUTBIND) == {"OPEN"} and not served(Side.CENTRE, Command.OUTBIND)
+
+
+def test_data_sm_is_a_message_like_any_other(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage)
+    stage.open(gateway(gate.address))
+    contractor = stage.contractor()
+    answer = asked(stage, contractor, Command.DATA_SM, tlvs=[(p.MESSAGE_PAYLOAD, b"long" * 100), (0x0204, b"\0\7")],
+                   service_type="WO", source_addr="100", destination_addr="3725550", registered_delivery=1)
+    assert answer.command is Command.DATA_SM_RESP and answer.status == 0
+    stage.until(lambda: len(contractor.ends()) == 1)
+    assert contractor.ends() == {answer.text("message_id"): {State.DELIVERED}}
+    assert gate.submits[0].tlv(p.MESSAGE_PAYLOAD) == b"long" * 100 and gate.submits[0].tlv(0x0204) == b"\0\7"
+
+
+def test_submit_multi_tells_which_were_not_taken_and_each_other_ends_once(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage)
+    stage.open(gateway(gate.address))
+    contractor = stage.contractor()
+    dests = [Dest("3725551"), Dest("999"), Dest("friends", is_list=True), Dest("3725552", 1, 1)]
+    answer = asked(stage, contractor, Command.SUBMIT_MULTI, b"all", dests=dests, service_type="WO", source_addr="100",
+                   registered_delivery=1)
+    assert answer.status == 0 and {(u.addr, u.status) for u in answer.unsuccess} == {
+        ("999", Status.ESME_RINVDSTADR), ("friends", Status.ESME_RINVDLNAME)}
+    stage.until(lambda: len(contractor.receipts) == 2 and not stage.journal.entries)
+    assert sorted(r.text("source_addr") for r in contractor.receipts) == ["3725551", "3725552"]
+    assert contractor.ends() == {answer.text("message_id"): {State.DELIVERED}} and gate.effects[b"all"] == 2
+    refused = asked(stage, contractor, Command.SUBMIT_MULTI, b"none", dests=[Dest("999")], service_type="WO")
+    assert refused.status == Status.ESME_RINVDSTADR and not stage.courier.open
+
+
+def test_a_submit_multi_whose_sender_is_gone_leaves_nothing(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage)
+    stage.open(gateway(gate.address))
+    contractor = stage.contractor()
+    request = Pdu(Command.SUBMIT_MULTI, 9, 0, {"service_type": "WO"}, b"x", dests=[Dest("3725551"), Dest("3725552")])
+
+    def send_and_go() -> None:
+        contractor.stream.write(p.encode(request), None)
+        contractor.stream.close()
+
+    stage.loop.spawn(send_and_go)
+    stage.wait(SECOND)
+    assert not gate.submits and not stage.journal.entries and not stage.courier.open
+
+
+def test_query_tells_open_and_ended_ones_also_after_a_restart(tmp_path: Path) -> None:
+    stage = keeps(Stage(tmp_path))
+    gate = StandInGateway(stage, script=lambda pdu: None if pdu.message == b"slow" else 0)
+    stage.open(gateway(gate.address, response=20 * SECOND))
+    contractor = stage.contractor()
+    done, slow = submitted(stage, contractor, b"quick"), submitted(stage, contractor, b"slow")
+    stage.until(lambda: done in contractor.ends())
+    assert state(stage, contractor, done) == State.DELIVERED and state(stage, contractor, slow) == State.ENROUTE
+    assert state(stage, contractor, "unknown") == -Status.ESME_RINVMSGID
+    assert named(stage, contractor, Command.QUERY_SM, done, source="101").status == Status.ESME_RQUERYFAIL
+    stage.courier.journal._compact()
+    again = keeps(Stage(tmp_path))
+    again.open(gateway(gate.address))
+    contractor = again.contractor()
+    assert state(again, contractor, done) == State.DELIVERED and state(again, contractor, slow) == State.ENROUTE
+    answer = named(again, contractor, Command.QUERY_SM, done)
+    assert len(answer.text("final_date")) == 16 and answer.text("final_date").endswith("000+")
+
+
+def test_what_is_known_of_ended_ones_is_bounded_and_let_go(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    journal = Stage(tmp_path).journal
+    for n in range(20_000):
+        journal.keep_ended(f"acme {n}", "x" * 40, 60 * SECOND)
+    assert journal.ended("acme 19999") and not journal.ended("acme 0")
+    assert journal._size <= journal._limit and journal._ended_live <= journal._limit // 4
+    assert journal.taken(1, 5, "{}", b"x" * 60_000), "a message must still find its room"
+    journal.keep_ended("brief", "y", 1)
+    assert journal.ended("brief") is None
+
+
+@pytest.mark.parametrize("service", ["RD", "WO", "PAY"])
+def test_cancel_withdraws_what_never_ran_and_nothing_else(tmp_path: Path, service: str) -> None:
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage, script=lambda pdu: None if pdu.message == b"out" else 0)
+    stage.open(gateway(gate.address, window=1, response=20 * SECOND))
+    contractor = stage.contractor()
+    later = submitted(stage, contractor, b"later", service, schedule_delivery_time="000000000100000R")
+    out = submitted(stage, contractor, b"out", service)
+    stage.until(lambda: gate.submits)
+    assert named(stage, contractor, Command.CANCEL_SM, out).status == Status.ESME_RCANCELFAIL
+    assert named(stage, contractor, Command.CANCEL_SM, later, source="1").status == Status.ESME_RINVMSGID
+    assert named(stage, contractor, Command.CANCEL_SM, later).status == 0
+    stage.until(lambda: later in contractor.ends())
+    assert contractor.ends()[later] == {State.DELETED}
+    stage.until(lambda: len(stage.journal.entries) == 1)
+    assert named(stage, contractor, Command.CANCEL_SM, later).status == Status.ESME_RINVMSGID
+    stage.wait(90 * SECOND)
+    assert [s.message for s in gate.submits].count(b"later") == 0
+    assert all(len(states) == 1 for states in contractor.ends().values())
+
+
+def test_cancel_by_addresses_takes_all_that_still_can_be(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    stage.open(gateway(StandInGateway(stage).address))
+    contractor = stage.contractor()
+    first = [submitted(stage, contractor, schedule_delivery_time="000000000100000R") for _ in range(3)]
+    other = submitted(stage, contractor, destination_addr="3725559", schedule_delivery_time="000000000100000R")
+    told = {"source_addr": "100", "destination_addr": "3725550"}
+    assert asked(stage, contractor, Command.CANCEL_SM, service_type="RD", **told).status == Status.ESME_RCANCELFAIL
+    assert asked(stage, contractor, Command.CANCEL_SM, **told).status == 0
+    stage.until(lambda: len(contractor.ends()) == 3)
+    assert set(contractor.ends()) == set(first) and state(stage, contractor, other) == State.ENROUTE
+
+
+def test_replace_changes_only_what_was_never_attempted_and_lasts(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage, script=lambda pdu: None if pdu.message == b"out" else 0)
+    stage.open(gateway(gate.address, response=20 * SECOND))
+    contractor = stage.contractor()
+    out = submitted(stage, contractor, b"out")
+    later = submitted(stage, contractor, b"old", schedule_delivery_time="000000000003000R")
+    stage.until(lambda: gate.submits)
+    assert named(stage, contractor, Command.REPLACE_SM, out, b"new").status == Status.ESME_RREPLACEFAIL
+    assert named(stage, contractor, Command.REPLACE_SM, "none", b"new").status == Status.ESME_RINVMSGID
+    assert named(stage, contractor, Command.REPLACE_SM, later, b"new").status == 0
+    again = Stage(tmp_path)
+    gate = StandInGateway(again)
+    again.open(gateway(gate.address))
+    again.until(lambda: gate.effects[b"new"], within=60 * SECOND)
+    assert not gate.effects[b"old"] and gate.effects[b"new"] == 1
+
+
+def test_a_scheduled_message_waits_through_a_restart_and_its_deadline_counts_from_then(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage)
+    stage.open(gateway(gate.address))
+    contractor = stage.contractor()
+    for bad, status in (("000000000000000R", Status.ESME_RINVSCHED), ("999999999999999R", Status.ESME_RINVSCHED),
+                        ("x", Status.ESME_RINVSCHED)):
+        assert asked(stage, contractor, Command.SUBMIT_SM, service_type="WO", destination_addr="3725550",
+                     schedule_delivery_time=bad).status == status
+    early = asked(stage, contractor, Command.SUBMIT_SM, service_type="WO", destination_addr="3725550",
+                  schedule_delivery_time="000000000100000R", validity_period="000000000050000R")
+    assert early.status == Status.ESME_RINVEXPIRY
+    begin = stage.loop.now
+    submitted(stage, contractor, b"later", schedule_delivery_time="000000000100000R")
+    stage.wait(40 * SECOND)
+    assert not gate.submits
+    again = Stage(tmp_path)
+    gate = StandInGateway(again)
+    again.open(gateway(gate.address))
+    again.until(lambda: gate.effects[b"later"], within=120 * SECOND)
+    assert gate.first[b"later"] - begin >= 60 * SECOND and gate.effects[b"later"] == 1
--- a/tests/smpp_standins.py
+++ b/tests/smpp_standins.py
@@ -99,7 +99,7 @@
         if self.cuts_now("submit"):
             stream.close()
         elif status is not None:
-            del self.on[text]
+            self.on.pop(text, None)  # two destinations may be sent one text
             answer = p.encode(pdu.reply(status, message_id="g1"))
             half = self.cuts_now("half answer")
             self.write_bytes(stream, answer[:9] if half else answer)
