--- a/kestrelspar/smpp/client.py
+++ b/kestrelspar/smpp/client.py
@@ -13,11 +13,12 @@
 from kestrelspar.smpp import pdu as p
 from kestrelspar.smpp.pdu import Command, Pdu
 from kestrelspar.smpp.session import Lost, NotSent, Session
+from kestrelspar.smpp.table import BINDS, Side, refusal
 from snowlock import interface as api
 from snowlock.interface import Outcome
 
-BINDS = {"transmitter": Command.BIND_TRANSMITTER, "receiver": Command.BIND_RECEIVER,
-         "transceiver": Command.BIND_TRANSCEIVER}
+HOW = {"transmitter": Command.BIND_TRANSMITTER, "receiver": Command.BIND_RECEIVER,
+       "transceiver": Command.BIND_TRANSCEIVER}
 
 
 class Link:
@@ -151,7 +152,7 @@
         stream = Stream(self.loop, sock, self.buffers)
         session = Session(self.loop, stream, gateway.name, gateway.enquire, gateway.response)
         self.loop.spawn(session.run, lambda pdu: self._handle(session, pdu))
-        bind = Pdu(BINDS[gateway.bind], fields={
+        bind = Pdu(HOW[gateway.bind], fields={
             "system_id": gateway.system_id, "password": gateway.password, "interface_version": 0x34,
         })
         try:
@@ -163,16 +164,20 @@
             logs.warn("smpp-bind-refused", peer=gateway.name, status=f"{answer.status:#x}")
             session.close()
             return None
+        session.state = BINDS[bind.command]
         return session
 
     @staticmethod
     def _handle(session: Session, pdu: Pdu) -> None:
-        """What a gateway asks of us: its deliver_sm are answered, but nobody here is waiting for them."""
-        if pdu.command is Command.DELIVER_SM:
-            logs.event("smpp-not-passed-on", peer=session.name, source_addr=pdu.text("source_addr"))
+        """What a gateway asks of us: its messages are answered, but nobody here is waiting for them."""
+        refused = refusal(Side.ESME, session.state, pdu)
+        if refused is not None:
+            session.post(refused)
+            return
+        logs.event("smpp-not-passed-on", peer=session.name, command=pdu.command.name.lower(),
+                   source_addr=pdu.text("source_addr"))
+        if pdu.command in (Command.DELIVER_SM, Command.DATA_SM):  # an alert has no response
             session.post(pdu.reply())
-        else:
-            session.post(Pdu(Command.GENERIC_NACK, pdu.sequence, p.Status.ESME_RINVCMDID))
 
     def close_idle(self, hop: NextHop) -> None:
         """End the gateway's session if nothing is out on it."""
--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -56,7 +56,6 @@
     def __init__(self, session: Session) -> None:
         self.session = session
         self.account: Account | None = None
-        self.state = Bound.OPEN
         self.handing = 0  # submit_sm without an answer yet
         self.refused = 0  # binds
         self.since = session.loop.now
@@ -99,7 +98,7 @@
     def _make_room(self) -> bool:
         """Close the oldest connection that has not bound: silent ones must not keep contractors out."""
         for guest in self._guests:
-            if guest.state is Bound.OPEN and not guest.session.closed and guest.since <= self.loop.now - SPARED:
+            if guest.session.state is Bound.OPEN and not guest.session.closed and guest.since <= self.loop.now - SPARED:
                 logs.event("smpp-closed-unbound", peer=guest.session.name)
                 guest.session.close()
                 return True
@@ -110,7 +109,7 @@
         guest = Guest(Session(self.loop, stream, name, self.told.enquire, self.told.response))
         self._guests.append(guest)
         init = self.loop.at(self.loop.now + self.told.bind_within,
-                            lambda: guest.session.close() if guest.state is Bound.OPEN else None)
+                            lambda: guest.session.close() if guest.session.state is Bound.OPEN else None)
         try:
             guest.session.run(lambda pdu: self._handle(guest, pdu))
         finally:
@@ -118,7 +117,7 @@
             self._guests.remove(guest)
 
     def _handle(self, guest: Guest, pdu: Pdu) -> None:
-        refused = table.refusal(Side.CENTRE, guest.state, pdu)
+        refused = table.refusal(Side.CENTRE, guest.session.state, pdu)
         if refused is not None:
             guest.session.post(refused)
         elif pdu.command in BINDS:
@@ -146,7 +145,7 @@
         elif self.courier.closing is not None:
             status = Status.ESME_RBINDFAIL
         if status is Status.ESME_ROK:
-            guest.account, guest.state = account, BINDS[pdu.command]
+            guest.account, guest.session.state = account, BINDS[pdu.command]
             guest.session.name = f"{pdu.text('system_id')}@{guest.session.name}"
         else:
             guest.refused += 1
@@ -154,11 +153,11 @@
                       status=status.name)
         answer = pdu.reply(status, system_id=self.told.system_id)
         answer.tlvs.append((p.SC_INTERFACE_VERSION, b"\x34"))
-        if guest.session.post(answer) and guest.state in RECEIVES:
+        if guest.session.post(answer) and guest.session.state in RECEIVES:
             for parking in self._hopeful:
                 parking.resume()
             self._hopeful.clear()
-        if guest.refused >= MOST_REFUSED and guest.state is Bound.OPEN:  # guessing, or asking again without end
+        if guest.refused >= MOST_REFUSED and guest.session.state is Bound.OPEN:  # guessing, or asking again without end
             guest.session.close()
 
     def _hand_in(self, guest: Guest, account: Account, pdu: Pdu) -> None:
@@ -383,7 +382,7 @@
         late = self.loop.now >= message.deadline - 100 * MS
         give_up, wait = self.loop.now + self.told.receipt_hold, WAIT_FIRST
         while self.loop.now < give_up:
-            guest = next((g for g in self._guests if g.state in RECEIVES and g.account is not None
+            guest = next((g for g in self._guests if g.session.state in RECEIVES and g.account is not None
                           and g.account.system_id == account and not g.session.closed
                           and g.session.outstanding < g.account.window), None)
             if guest is None:
--- a/kestrelspar/smpp/session.py
+++ b/kestrelspar/smpp/session.py
@@ -9,6 +9,7 @@
 from kestrelspar.runtime.loop import LATE, Loop, Parking
 from kestrelspar.smpp import pdu as p
 from kestrelspar.smpp.pdu import Command, Pdu, Status
+from kestrelspar.smpp.table import Bound
 
 
 class NotSent(Exception):
@@ -26,6 +27,7 @@
         self.loop, self.stream, self.name = loop, stream, name
         self._enquire, self._answer_within = enquire, answer_within
         self.closed = False
+        self.state = Bound.OPEN
         self.outstanding = 0  # requests without a response
         self.heard = loop.now
         self._sequence = 0
--- a/tests/cli/test_verbs.py
+++ b/tests/cli/test_verbs.py
@@ -129,9 +129,9 @@
                         "  keep 64KB\n")
         program = Program(tmp_path, world, KESTRELSPAR_CONF=str(conf)).ready()
 
-        def hand_in(trace: str) -> int | None:
+        def hand_in(trace: str, dest: int = 9) -> int | None:
             return program.ask("POST", "/reading", **{"X-Trace-Id": trace, "X-Qos": "reading",
-                                                      "X-Expires-In": "15000m", "X-Route-To": "dest=9"})
+                                                      "X-Expires-In": "15000m", "X-Route-To": f"dest={dest}"})
 
         until(lambda: hand_in("first") in (202, 409))
         until((tmp_path / "registry-main.list").exists)
@@ -139,6 +139,17 @@
     program = Program(tmp_path, world, KESTRELSPAR_CONF=str(conf)).ready()
     assert hand_in("second") == 202  # its destination is known from the kept list alone
     until(lambda: "second" in World.calls)
+    with Alone() as other:  # SIGHUP moves to where the settings say; a registry that says nothing of it loses far
+        other.store.put("new/near", value("near", address=world, group=11).replace(b"contractor", b"m")
+                        .replace(b"room-a", b"a"))
+        conf.write_text(f"registry main\n  type consul\n  servers 127.0.0.1:{other.address[1]}\n  prefix new/\n"
+                        "  keep 64KB\n")
+        program.process.send_signal(signal.SIGHUP)
+        until(lambda: hand_in("third", 11) == 202)
+        until(lambda: "third" in World.calls)
+        conf.write_text("")  # and a section that is gone takes its entries with it
+        program.process.send_signal(signal.SIGHUP)
+        until(lambda: not (tmp_path / "registry-main.list").exists())
     conf.write_text("registry main\n  typ etcd\n")
     program.process.send_signal(signal.SIGHUP)
     assert any("event=configuration-not-taken" in line for line in iter(program.process.stdout or ()))
--- a/tests/smpp/test_operations.py
+++ b/tests/smpp/test_operations.py
@@ -7,12 +7,13 @@
 from typing import Any
 
 import pytest
-from hypothesis import settings
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from kestrelspar.runtime.loop import SECOND
 from kestrelspar.smpp import pdu as p
 from kestrelspar.smpp import table
-from kestrelspar.smpp.pdu import Command, Dest, Pdu, State, Status
+from kestrelspar.smpp.pdu import Command, Dest, Pdu, State, Status, Unsuccess
 from kestrelspar.smpp.table import Bound, Side
 from tests.smpp_standins import StandInContractor, StandInGateway, gateway
 from tests.test_smpp import Stage
@@ -235,3 +236,42 @@
     again.open(gateway(gate.address))
     again.until(lambda: gate.effects[b"later"], within=120 * SECOND)
     assert gate.first[b"later"] - begin >= 60 * SECOND and gate.effects[b"later"] == 1
+
+
+@FIXED
+@given(st.sampled_from([c for c in Command if c is not Command.GENERIC_NACK]), st.integers(0, 255),
+       st.text(st.characters(min_codepoint=33, max_codepoint=126), max_size=5), st.binary(max_size=254),
+       st.integers(1, 254), st.integers(0, 0xFFFF))
+def test_every_pdu_comes_back_as_it_was(command: Command, number: int, word: str, message: bytes, many: int,
+                                        tag: int) -> None:
+    fields = {name: word if most else number for name, most in p._FIELDS.get(command, ()) if most >= 0}
+    pdu = Pdu(command, 5, 0, fields, message if command in p._HAVE_SM else b"", [(tag, message)])
+    if command is Command.SUBMIT_MULTI:
+        pdu.dests = [Dest(word, 0 if n % 2 else number, 0 if n % 2 else 1, bool(n % 2)) for n in range(many)]
+    if command is Command.SUBMIT_MULTI_RESP:
+        pdu.unsuccess = [Unsuccess(word, number, 1, number) for _ in range(many)]
+    data = p.encode(pdu)
+    assert p.whole(bytearray(data)) == len(data) and p.decode(data) == pdu
+    for cut in range(17, len(data), max(1, len(data) // 20)):
+        short = cut.to_bytes(4, "big") + data[4:cut]
+        try:
+            assert p.decode(short) != pdu
+        except p.BadPdu as error:
+            assert error.sequence == 5
+
+
+def test_what_a_gateway_sends_is_answered_by_the_table(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage)
+    stage.open(gateway(gate.address))
+    submitted(stage, stage.contractor())
+    stage.until(lambda: gate.submits)
+    session = next(iter(stage.gates._links.values())).session
+    assert session is not None and session.state is Bound.TRX
+    posted: list[Pdu] = []
+    session.post = lambda pdu: posted.append(pdu) or True  # type: ignore[method-assign, func-returns-value]
+    for command in table.requests():
+        stage.gates._handle(session, Pdu(command, 3))
+    assert {pdu.command.name: pdu.status for pdu in posted if pdu.status == 0} == {
+        "DELIVER_SM_RESP": 0, "DATA_SM_RESP": 0}
+    assert {pdu.status for pdu in posted if pdu.command is Command.GENERIC_NACK} == {Status.ESME_RINVCMDID}
