SMPP: the parts of a long message become one message, and each part has its receipt

Cause: tried with nine parts of one long message, the member system got nine calls, each with a piece of the text.

Change: smpp/parts.py tells which part a PDU is (UDH of 8 or 16 bits, SAR) and when a set is whole, bounded in sets, bytes and time. Each part is journalled before it is answered; courier.join lets one message stand for its parts, which it names, so that a crash between the two leaves nothing twice. A set that is not whole in time ends each part for itself.

--- a/benchmarks/registry.py
+++ b/benchmarks/registry.py
@@ -52,6 +52,10 @@
     name = "http"
     told = 0
 
+    def took(self, message: Message) -> bool:
+        """Nothing."""
+        return False
+
     def settle(self, message: Message, end: End) -> None:
         """One end."""
         self.told += 1
--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -113,8 +113,8 @@
     def settle(self, message: Message, end: End) -> None:
         """Tell the end, and return when it has been heard."""
 
-    def took(self, message: Message) -> None:
-        """A message of this side is open again after a restart."""
+    def took(self, message: Message) -> bool:
+        """A message of this side is open again after a restart; whether the side itself keeps it for now."""
 
 
 class Hook(Protocol):
@@ -156,10 +156,15 @@
 
         ``answer`` tells the sender side at once whether the message is taken on; false when it did not hear.
         """
+        if self.keep(message, answer):
+            self._see_through(message)
+
+    def keep(self, message: Message, answer: Callable[[Answer], bool]) -> bool:
+        """Take a message on, journalled before it is answered; whether it is ours from now on."""
         refusal = self._door(message)
         if refusal is not None:
             answer(refusal)
-            return
+            return False
         begin = max(self.loop.now, message.start)
         message.deadline = min(message.deadline, begin + self.map.within(message.dest))
         self._last += 1
@@ -167,15 +172,36 @@
         text = ujson.dumps(self._text(message))
         if not self.journal.taken(message.number, message.deadline, text, message.body):
             answer(Answer(False, True, Reason.DISK))
-            return
+            return False
         self.open[message.number] = message
         self._known[message.trace] = message
         if not answer(TAKEN_ON):  # it went away unanswered and may hand it in elsewhere: not ours
             self._over(message)
-            return
+            return False
         logs.event("taken", logs.DEBUG, trace=message.trace, cls=self.settings.classes[message.cls].name,
                    dest=message.dest, front=message.sender.name, left_ms=(message.deadline - self.loop.now) // MS)
-        self._see_through(message)
+        return True
+
+    def join(self, whole: Message, parts: list[Message]) -> bool:
+        """Let one message stand for several that were kept; false when the journal has no room for it yet.
+
+        A crash in between leaves both: ``whole.extra["joined"]`` names the parts that it stands for.
+        """
+        self._last += 1
+        whole.number = self._last
+        whole.extra["joined"] = [part.number for part in parts]
+        if not self.journal.taken(whole.number, whole.deadline, ujson.dumps(self._text(whole)), whole.body):
+            return False
+        self.open[whole.number] = self._known[whole.trace] = whole
+        for part in parts:
+            self._over(part)
+        logs.event("joined", trace=whole.trace, parts=" ".join(part.trace for part in parts))
+        self.loop.spawn(self._see_through, whole)
+        return True
+
+    def end_kept(self, message: Message, state: str) -> None:
+        """The end of a message that was kept and is not given to the module."""
+        self._end(message, End(state))
 
     def _see_through(self, message: Message, attempts: int = 0, maybe_since_ns: int | None = None) -> None:
         """From the module's first word on it to its end."""
@@ -290,9 +316,14 @@
 
     def resume(self) -> None:
         """Take up what the journal holds: each open message still has its end to come."""
+        joined = [ujson.loads(entry.text)["extra"].get("joined", ()) for entry in self.journal.entries.values()
+                  if '"joined"' in entry.text]
+        for number in {number for numbers in joined for number in numbers}:
+            self.journal.done(number)  # parts of a message that was joined right before the process ended
         for entry in list(self.journal.entries.values()):
             try:
                 message = self._from_journal(entry)
+                kept = message.sender.took(message)
             except (KeyError, ValueError, TypeError, StopIteration) as error:
                 logs.error("journal-unusable", number=entry.number, why=repr(error))
                 continue
@@ -303,6 +334,8 @@
                 self.loop.spawn(self._tell_again, message, End(entry.verdict, entry.after_ms))
                 continue
             self.open[entry.number] = message
+            if kept:
+                continue
             since = None if entry.maybe_since is None else entry.maybe_since * NS
             self.loop.spawn(self._see_through, message, entry.attempts, since)
 
@@ -319,7 +352,6 @@
                           self.senders[text["sender"]], text["key"], text["extra"], entry.number)
         if "lead" in text:  # from the deadline, whose time the journal has carried over to this process's clock
             message.start = entry.deadline - int(text["lead"])
-        message.sender.took(message)
         return message
 
     # What the sender side may ask for later
--- a/kestrelspar/http/notices.py
+++ b/kestrelspar/http/notices.py
@@ -36,8 +36,9 @@
         if self._busy:
             self.loop.spawn(self._tell)
 
-    def took(self, message: Message) -> None:
+    def took(self, message: Message) -> bool:
         """Nobody asks for a message again over HTTP."""
+        return False
 
     def settle(self, message: Message, end: End) -> None:
         """Tell the end; a delivered message needs no notice."""
--- a/kestrelspar/settings/resolve.py
+++ b/kestrelspar/settings/resolve.py
@@ -58,6 +58,7 @@
     destinations: dict[str, int]  # by prefix of the destination address
     gateways: tuple[Gateway, ...]
     keep_ended: int = 0  # how long an ended message can be asked for
+    parts_within: int = 10_000_000  # how long the parts of a long message are waited for; 0: they are not joined
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,7 +140,8 @@
                 for name, cls in top.service_type.items()}
     look.done()
     return Smpp(top.listen, top.system_id, top.bind_within, top.enquire_link, top.response, top.receipt_hold,
-                top.most_sessions, tuple(accounts), services, dict(top.destination), tuple(gateways), top.keep_ended)
+                top.most_sessions, tuple(accounts), services, dict(top.destination), tuple(gateways), top.keep_ended,
+                top.parts_within if top.join else 0)
 
 
 def registries(conf: Conf) -> list[Registry]:
--- a/kestrelspar/settings/schema.py
+++ b/kestrelspar/settings/schema.py
@@ -80,6 +80,9 @@
     receipt_hold: Annotated[int, duration("how long a receipt is offered", SECOND, 168 * HOUR)] = HOUR
     keep_ended: Annotated[int, duration("how long query_sm knows an ended message, restarts included; 0s: not",
                                         0, 720 * HOUR)] = HOUR
+    join: Annotated[bool, switch("whether the parts of a long message become one message")] = True
+    parts_within: Annotated[int, duration("parts that are not all there by then end, each for itself",
+                                          SECOND, HOUR)] = 10 * SECOND
     most_sessions: Annotated[int, number("sessions at once", 1, 100_000)] = 64
     service_type: Annotated[dict[str, str], text("a class for a service_type", 40)] = {}
     destination: Annotated[dict[str, int], number("a destination for a prefix of destination_addr",
--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import hmac
 import os
 import re
@@ -12,13 +13,14 @@
 
 import ujson
 
-from kestrelspar.core.courier import DELIVERED, Answer, Courier, End, Message
+from kestrelspar.core.courier import DELIVERED, FAILED, Answer, Courier, End, Message, Reason
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, Late, Stream
-from kestrelspar.runtime.loop import LATE, MS, SECOND, Loop, Parking
+from kestrelspar.runtime.loop import LATE, MS, SECOND, Loop, Parking, Timer
 from kestrelspar.settings.resolve import Account, Smpp
-from kestrelspar.smpp import errors, table
+from kestrelspar.smpp import errors, parts, table
 from kestrelspar.smpp import pdu as p
+from kestrelspar.smpp.parts import Place
 from kestrelspar.smpp.pdu import Command, Pdu, Status
 from kestrelspar.smpp.session import Lost, NotSent, Session
 from kestrelspar.smpp.table import BINDS, Bound, Side
@@ -71,6 +73,9 @@
         self._guests: list[Guest] = []
         self._hopeful: list[Parking] = []  # receipts that wait for somebody to bind
         self._open: dict[str, dict[int, Message]] = {}  # by the id that their sender knows, and their number
+        self._joiner = parts.Joiner(told.parts_within)
+        self._parts: dict[int, Message] = {}  # that wait for others, by number
+        self._sweep: Timer | None = None
         self._operations: dict[Command, Callable[[Account, Pdu], Pdu]] = {
             Command.QUERY_SM: self._query, Command.CANCEL_SM: self._cancel, Command.REPLACE_SM: self._replace,
         }
@@ -182,12 +187,72 @@
             here = not guest.session.stream.ended()
             return self._taken(message, here and guest.session.post(pdu.reply(message_id=message.trace)))
 
-        self.courier.carry(message, answer)
+        if "part" not in message.extra:
+            self.courier.carry(message, answer)
+            return
+        part, key = parts.Part(**message.extra["part"]), _set(message)
+        place, twin = self._joiner.look(key, part, len(message.body))
+        if place is Place.REPEATED and twin in self._parts:  # its answer was lost: the same answer again
+            guest.handing -= 1
+            guest.session.post(pdu.reply(message_id=self._parts[twin].trace))
+        elif place is Place.NO_ROOM:
+            answer(Answer(False, True, Reason.FULL))
+        elif self.courier.keep(message, answer):
+            self._hold_part(message)
+
+    def _hold_part(self, message: Message) -> None:
+        """A part is ours: wait for the others, or go on if it is the last one."""
+        self._parts[message.number] = message
+        part, key = parts.Part(**message.extra["part"]), _set(message)
+        place, twin = self._joiner.look(key, part, len(message.body))
+        if place is Place.REPEATED:  # both were handed in at once, and each was answered
+            self._part_ends(message)
+            return
+        whole = self._joiner.add(self.loop.now, key, part, message.number, len(message.body))
+        if whole is not None:
+            self._join([self._parts[number] for number in whole.numbers])
+        elif self._sweep is None:
+            self._sweep = self.loop.at(self._joiner.next_late or self.loop.now, self._part_times)
+
+    def _part_times(self) -> None:
+        """Sets whose time is up end, each part for itself."""
+        self._sweep = None
+        for late in self._joiner.late(self.loop.now):
+            for number in late.numbers:
+                self._part_ends(self._parts[number])
+        if self._joiner.next_late is not None:
+            self._sweep = self.loop.at(self._joiner.next_late, self._part_times)
+
+    def _part_ends(self, message: Message) -> None:
+        self._parts.pop(message.number, None)
+        self.loop.spawn(self.courier.end_kept, message, FAILED)
+
+    def _join(self, found: list[Message]) -> None:
+        """The parts become one message, which owes each of them its receipt."""
+        first = found[0]
+        told = first.extra["smpp"] | {"esm_class": first.extra["smpp"]["esm_class"] & ~parts.UDHI}
+        owed = [{"shown": _shown(m), "registered_delivery": m.extra["smpp"]["registered_delivery"]} for m in found]
+        extra = first.extra | {"smpp": told, "payload": True, "parts": owed, "shown": ""}
+        del extra["part"]
+        trace = os.urandom(8).hex()
+        whole = Message(trace, first.cls, first.tenant, first.dest, min(m.deadline for m in found),
+                        b"".join(m.body for m in found), self, trace, extra, start=max(m.start for m in found))
+        if not self.courier.join(whole, found):
+            if self.loop.now >= whole.deadline:
+                for part in found:
+                    self._part_ends(part)
+                return
+            self.loop.at(self.loop.now + SECOND, lambda: self._join(found))  # the journal may have room then
+            return
+        for part in found:
+            self._parts.pop(part.number, None)
+            self._let_go(part)
+        self._note(whole)
 
     def _taken(self, message: Message, heard: bool) -> bool:
         """A message is ours if its sender has heard that it is."""
         if heard:
-            self.took(message)
+            self._note(message)
         return heard
 
     def _hand_in_all(self, guest: Guest, account: Account, pdu: Pdu) -> None:
@@ -262,6 +327,13 @@
         if payload is not None and pdu.message or len(body) > MOST_BODY:
             raise _Refused(Status.ESME_RINVMSGLEN)
         tlvs = [(tag, value.hex()) for tag, value in pdu.tlvs if tag != p.MESSAGE_PAYLOAD]
+        part = None
+        if self.told.parts_within:
+            try:
+                part, body = parts.part_of(pdu, body)
+            except parts.BadPart as error:
+                raise _Refused(error.status) from None
+            tlvs = [(tag, value) for tag, value in tlvs if part is None or tag not in parts.SAR]
         if sum(len(value) for _, value in tlvs) > 2 * MOST_TLVS:
             raise _Refused(Status.ESME_ROPTPARNOTALLWD)
         start = self._scheduled(pdu.text("schedule_delivery_time"))
@@ -285,6 +357,7 @@
             "smpp": {name: pdu.fields.get(name, "" if name in _TEXTS else 0) for name in p.SM_FIELDS}, "tlvs": tlvs,
             "account": account.system_id, "payload": payload is not None, "submitted": int(time.time()),
             **({"shown": shown} if shown else {}),
+            **({"part": dataclasses.asdict(part)} if part is not None else {}),
         }
         begin = max(self.loop.now, start)
         deadline = begin + most if left is None else min(begin + most, self.loop.now + left)
@@ -307,15 +380,25 @@
 
     # What is asked about messages that were taken on
 
-    def took(self, message: Message) -> None:
-        """A message of ours is open."""
-        self._open.setdefault(_shown(message), {})[message.number] = message
+    def _note(self, message: Message) -> None:
+        """A message of ours is open: it may be asked about by its ids."""
+        for shown in _ids(message):
+            self._open.setdefault(shown, {})[message.number] = message
+
+    def took(self, message: Message) -> bool:
+        """A message of ours is open again after a restart; a part waits for its others, and is kept here."""
+        self._note(message)
+        if "part" not in message.extra or self.courier.journal.entries[message.number].verdict:
+            return False
+        self.loop.spawn(self._hold_part, message)
+        return True
 
     def _let_go(self, message: Message) -> None:
-        found = self._open.get(_shown(message), {})
-        found.pop(message.number, None)
-        if not found:
-            self._open.pop(_shown(message), None)
+        for shown in _ids(message):
+            found = self._open.get(shown, {})
+            found.pop(message.number, None)
+            if not found:
+                self._open.pop(shown, None)
 
     def _named(self, account: Account, pdu: Pdu) -> list[Message]:
         """The open messages of this account that a PDU names by id, each only for the address that sent it."""
@@ -370,16 +453,39 @@
     def settle(self, message: Message, end: End) -> None:
         """Send the receipt, and again until it is acknowledged, on whichever session can take it."""
         self._let_go(message)
+        late = self.loop.now >= message.deadline - 100 * MS or "part" in message.extra
         if self.told.keep_ended:
-            number, _ = errors.state(end, self.loop.now >= message.deadline - 100 * MS)
+            number, _ = errors.state(end, late)
             row = {"state": number, "at": int(time.time()), "source": message.extra["smpp"]["source_addr"]}
-            self.courier.journal.keep_ended(f"{message.extra['account']} {_shown(message)}", ujson.dumps(row),
-                                            self.told.keep_ended)
+            for shown in _ids(message):
+                self.courier.journal.keep_ended(f"{message.extra['account']} {shown}", ujson.dumps(row),
+                                                self.told.keep_ended)
+        owed = message.extra.get("parts")
+        if owed is None:
+            self._tell(message, end, late)
+            return
+        left, heard = [len(owed)], Parking(self.loop)
+
+        def tell(part: Message) -> None:
+            try:
+                self._tell(part, end, late)
+            finally:
+                left[0] -= 1
+                if not left[0]:
+                    heard.resume()
+
+        for row in owed:
+            told = message.extra["smpp"] | {"registered_delivery": row["registered_delivery"]}
+            extra = message.extra | {"smpp": told, "shown": row["shown"]}
+            self.loop.spawn(tell, dataclasses.replace(message, extra=extra))
+        self.loop.park(heard)
+
+    def _tell(self, message: Message, end: End, late: bool) -> None:
+        """One receipt, until it is acknowledged or given up."""
         wanted = int(message.extra["smpp"].get("registered_delivery", 0)) & 3
         if not wanted or wanted == 2 and end.state == DELIVERED:
             return
         account = message.extra["account"]
-        late = self.loop.now >= message.deadline - 100 * MS
         give_up, wait = self.loop.now + self.told.receipt_hold, WAIT_FIRST
         while self.loop.now < give_up:
             guest = next((g for g in self._guests if g.session.state in RECEIVES and g.account is not None
@@ -429,6 +535,19 @@
             self.loop.spawn(guest.session.unbind)
 
 
+def _ids(message: Message) -> list[str]:
+    """The ids that its sender knows a message by: those of its parts, where it came in parts."""
+    owed = message.extra.get("parts")
+    return [_shown(message)] if owed is None else [str(row["shown"]) for row in owed]
+
+
+def _set(message: Message) -> parts.Key:
+    """What the parts of one message have in common beside their reference."""
+    told = message.extra["smpp"]
+    return (message.extra["account"], told["source_addr"], told["destination_addr"], told["service_type"],
+            told["data_coding"], message.dest)
+
+
 def _shown(message: Message) -> str:
     """The id that the sender knows a message by."""
     return str(message.extra.get("shown", message.trace))
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -39,6 +39,9 @@
     def __init__(self) -> None:
         self.told: list[tuple[str, str]] = []
 
+    def took(self, message: Message) -> bool:
+        return False
+
     def settle(self, message: Message, end: End) -> None:
         self.told.append((message.trace, end.state))
 
