SMPP: long texts go to gateways in parts, by UDH or SAR, and class rules hold for the whole

Need: a text longer than one short message went as message_payload only, which many gateways do not take.

Change: `split payload|udh|sar` and `coding raw|text` by gateway. parts.split cuts by what the air holds (160 and 153 letters, 140 and 134 octets), never inside an escape of GSM 03.38 or a surrogate pair; text.py codes bodies of other wires with gsm0338. The first part goes alone, so that a gateway that takes nothing is asked once; the others side by side in the window. One failed: no further part is sent, and the whole may have run. Told waits and drains are asked for right before each part (Leave.still), while only the first is journalled, as a window begins with it.

Seen on the way: a part that waited for the window was sent although another had failed meanwhile; a test of it found it.

--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -117,6 +117,22 @@
         """A message of this side is open again after a restart; whether the side itself keeps it for now."""
 
 
+class _Leave:
+    """See ``transport_map.Leave``."""
+
+    __slots__ = ("_may", "_note")
+
+    def __init__(self, may: Callable[[], bool], note: Callable[[], bool]) -> None:
+        self._may, self._note = may, note
+
+    def __call__(self) -> bool:
+        return self._may() and self._note()
+
+    def still(self) -> bool:
+        """Whether more of the attempt may go."""
+        return self._may()
+
+
 class Hook(Protocol):
     """A plug-in at a message's arrival and end."""
 
@@ -243,12 +259,9 @@
         if hop is None:
             return Result(Outcome.MOOT), 0
 
-        def leave() -> bool:
-            # Between the choice and the first byte a drain or a told wait may have come.
-            return self._controller.may_still_go(self.loop.now * NS, word.endpoint) and self.journal.attempt(
-                message.number, which, self.loop.now
-            )
-
+        # Between the choice and the first byte a drain or a told wait may have come.
+        leave = _Leave(lambda: self._controller.may_still_go(self.loop.now * NS, word.endpoint),
+                       lambda: self.journal.attempt(message.number, which, self.loop.now))
         self.out += 1
         try:
             result = hop.carrier.attempt(message, hop, sent + word.timeout_ns // NS, leave)
--- a/kestrelspar/core/transport_map.py
+++ b/kestrelspar/core/transport_map.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -18,10 +18,20 @@
 FOREVER = 1 << 62
 
 
+class Leave(Protocol):
+    """Asked right before a delivery attempt's first byte: if false, nothing may be sent."""
+
+    def __call__(self) -> bool:
+        """Whether the attempt may leave; it is journalled then."""
+
+    def still(self) -> bool:
+        """Whether more of an attempt that has left may go: no drain and no told wait has come since."""
+
+
 class Carrier(Protocol):
     """What makes delivery attempts on one wire."""
 
-    def attempt(self, message: Any, hop: NextHop, deadline: int, leave: Callable[[], bool]) -> Any:
+    def attempt(self, message: Any, hop: NextHop, deadline: int, leave: Leave) -> Any:
         """One delivery attempt; ``leave`` is asked right before the first byte: if false, send nothing."""
 
     def close_idle(self, hop: NextHop) -> None:
--- a/kestrelspar/settings/resolve.py
+++ b/kestrelspar/settings/resolve.py
@@ -40,6 +40,8 @@
     throttle_wait: int
     source_addr: str
     destination_addr: str
+    split: str = "payload"
+    coding: str = "raw"
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,7 +136,7 @@
             told.label, g.address, g.destination, look.place(told, "zone", g.zone, settings.zones, "zone"),
             look.place(told, "type", g.type, settings.kinds, "type"), g.system_id,
             look.secret(told, "password-file", g.password_file, 8), g.bind, g.window, g.response,
-            g.enquire_link, g.throttle_wait, g.source_addr, g.destination_addr,
+            g.enquire_link, g.throttle_wait, g.source_addr, g.destination_addr, g.split, g.coding,
         ))
     services = {name: look.place(front, "service-type", cls, classes, "class")
                 for name, cls in top.service_type.items()}
--- a/kestrelspar/settings/schema.py
+++ b/kestrelspar/settings/schema.py
@@ -116,6 +116,10 @@
     response: Annotated[int, duration("how long an answer is waited for", 10 * MS, HOUR)] = 10 * SECOND
     enquire_link: Annotated[int, duration("silence before the link is tried", 100 * MS, HOUR)] = 30 * SECOND
     throttle_wait: Annotated[int, duration("the wait that throttling stands for", 10 * MS, HOUR)] = SECOND
+    split: Annotated[str, choice("how a text longer than one short message goes: in one message_payload, or in "
+                                 "parts", "payload", "udh", "sar")] = "payload"
+    coding: Annotated[str, choice("bodies that came by another wire: as they are, or as texts in the smallest "
+                                  "alphabet (GSM 03.38, Latin-1, UCS-2)", "raw", "text")] = "raw"
     source_addr: Annotated[str, text("for messages that bring none", 20)] = ""
     destination_addr: Annotated[str, text("for messages that bring none", 20)] = ""
 
--- a/kestrelspar/smpp/parts.py
+++ b/kestrelspar/smpp/parts.py
@@ -150,3 +150,58 @@
     def next_late(self) -> int | None:
         """When the next set's time is up."""
         return min((found.until for found in self._sets.values()), default=None)
+
+
+# Towards gateways: how a text is cut. Sizes after 3GPP TS 23.040: 140 octets on the air, 160 letters of 7 bits; a
+# header of 6 octets leaves 134 and 153, one of 7 octets 133 and 152. SAR leaves the header to the gateway: the
+# smaller sizes, in whole letters of UCS-2.
+
+GSM, IA5, LATIN_1, BINARY, UCS_2 = 0, 1, 3, 4, 8  # data_coding
+ESCAPE = 0x1B  # the next letter is one of the extension table
+MOST_PARTS = 255
+
+
+def room(coding: int, text: bytes, how: str = "") -> int:
+    """Octets of a text that one PDU holds on the air: whole (no ``how``), or as a part by "udh" or "sar"."""
+    letters = coding in (GSM, IA5) and not any(octet > 0x7F for octet in text)
+    return {"": (140, 160), "udh": (134, 153), "sar": (132, 152)}[how][letters]
+
+
+def split(text: bytes, coding: int, how: str) -> list[bytes]:
+    """The text in as few parts as hold it, none ending inside an escape or a surrogate pair.
+
+    ``ValueError`` where it takes more than 255.
+    """
+    if len(text) <= room(coding, text):
+        return [text]
+    most, found, at = room(coding, text, how), [], 0
+    while at < len(text):
+        end = min(len(text), at + most)
+        if end < len(text):
+            if coding == UCS_2:
+                end -= (end - at) % 2
+                if 0xD8 <= text[end - 2] <= 0xDB:  # the first half of a pair
+                    end -= 2
+            elif coding == GSM and most > 140 and _escapes(text, at, end):
+                end -= 1
+        found.append(text[at:end])
+        at = end
+    if len(found) > MOST_PARTS:
+        raise ValueError(f"{len(found)} parts, {MOST_PARTS} at the most")
+    return found
+
+
+def _escapes(text: bytes, begin: int, end: int) -> bool:
+    """Whether the last letter before ``end`` is an escape, and not what another escape stands for."""
+    count = 0
+    while end - 1 - count >= begin and text[end - 1 - count] == ESCAPE:
+        count += 1
+    return count % 2 == 1
+
+
+def marked(text: bytes, how: str, ref: int, total: int, place: int) -> tuple[bytes, list[tuple[int, bytes]]]:
+    """A part with what says which one it is: its text with a header in front, or its SAR parameters."""
+    if how == "udh":
+        return bytes([5, CONCAT_8, 3, ref % 256, total, place]) + text, []
+    return text, [(p.SAR_MSG_REF_NUM, (ref % 65536).to_bytes(2, "big")), (p.SAR_TOTAL_SEGMENTS, bytes([total])),
+                  (p.SAR_SEGMENT_SEQNUM, bytes([place]))]
--- a/tests/smpp/test_operations.py
+++ b/tests/smpp/test_operations.py
@@ -275,3 +275,50 @@
     assert {pdu.command.name: pdu.status for pdu in posted if pdu.status == 0} == {
         "DELIVER_SM_RESP": 0, "DATA_SM_RESP": 0}
     assert {pdu.status for pdu in posted if pdu.command is Command.GENERIC_NACK} == {Status.ESME_RINVCMDID}
+
+
+def test_what_waits_between_attempts_is_withdrawn_only_if_none_may_have_run(tmp_path: Path) -> None:
+    stage = Stage(tmp_path, slots=1)
+    answers = {b"maybe": Status.ESME_RSYSERR, b"full": Status.ESME_RTHROTTLED}
+    gate = StandInGateway(stage, script=lambda pdu: answers.get(pdu.message, 0))
+    stage.open(gateway(gate.address, throttle_wait=5 * SECOND))
+    contractor = stage.contractor()
+    maybe = submitted(stage, contractor, b"maybe", "RD")
+    stage.until(lambda: gate.submits and not stage.courier.out)
+    assert named(stage, contractor, Command.CANCEL_SM, maybe).status == Status.ESME_RCANCELFAIL
+    del answers[b"maybe"]
+    stage.until(lambda: maybe in contractor.ends())
+    full = submitted(stage, contractor, b"full", "PAY")
+    stage.until(lambda: gate.submits[-1].message == b"full" and not stage.courier.out)
+    assert named(stage, contractor, Command.REPLACE_SM, full, b"new").status == Status.ESME_RREPLACEFAIL
+    assert named(stage, contractor, Command.CANCEL_SM, full).status == 0
+    number = stage.courier._last
+    stage.until(lambda: full in contractor.ends())
+    assert contractor.ends()[full] == {State.DELETED} and number not in stage.courier._controller.messages
+    after = submitted(stage, contractor, b"after", "PAY")  # the only slot is free
+    stage.until(lambda: after in contractor.ends())
+    assert [s.message for s in gate.submits].count(b"full") == 1
+
+
+def test_what_is_about_to_leave_is_not_withdrawn(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage, pause=lambda _: 300_000)
+    stage.open(gateway(gate.address, window=1))
+    contractor = stage.contractor()
+    submitted(stage, contractor, b"first", "PAY")
+    second = submitted(stage, contractor, b"second", "PAY")  # the module has sent it; it waits for the window
+    stage.until(lambda: stage.courier.out == 2)
+    assert named(stage, contractor, Command.CANCEL_SM, second).status == Status.ESME_RCANCELFAIL
+    stage.until(lambda: second in contractor.ends())
+    assert contractor.ends()[second] == {State.DELIVERED}
+
+
+def test_replacing_does_not_count_twice_in_the_journal(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    stage.open(gateway(("127.0.0.1", 1)))
+    contractor = stage.contractor()
+    later = submitted(stage, contractor, b"old", schedule_delivery_time="000000000100000R")
+    for text in (b"x" * 200, b"y" * 100):
+        assert named(stage, contractor, Command.REPLACE_SM, later, text).status == 0
+    journal = stage.journal
+    assert journal._live == sum(journal._weights.values()) and len(journal.entries) == 1
--- a/tests/smpp/test_parts.py
+++ b/tests/smpp/test_parts.py
@@ -13,8 +13,10 @@
 from kestrelspar.runtime.loop import SECOND
 from kestrelspar.smpp import parts
 from kestrelspar.smpp import pdu as p
+from kestrelspar.smpp.client import Doubt
 from kestrelspar.smpp.parts import BadPart, Joiner, Part, Place
 from kestrelspar.smpp.pdu import Command, Pdu, State, Status
+from kestrelspar.smpp.text import coded
 from tests.smpp.test_operations import asked, keeps, state
 from tests.smpp_standins import StandInContractor, StandInGateway, gateway
 from tests.test_smpp import Stage
@@ -148,3 +150,143 @@
     assert submit_part(stage, contractor, SAR, 1, 1).status == 0
     stage.until(lambda: gate.submits)
     assert gate.submits[0].message == TEXT[0] and gate.submits[0].tlv(p.SAR_TOTAL_SEGMENTS) == b"\3"
+
+
+# Towards gateways
+
+@pytest.mark.parametrize(("text", "coding", "how", "sizes"), [
+    (b"a" * 160, 0, "udh", [160]), (b"a" * 161, 0, "udh", [153, 8]), (b"a" * 306, 0, "udh", [153, 153]),
+    (b"a" * 161, 0, "sar", [152, 9]), (b"\xe9" * 140, 3, "udh", [140]), (b"\xe9" * 141, 3, "udh", [134, 7]),
+    (b"\xe9" * 141, 0, "udh", [134, 7]),  # no letters of 7 bits, whatever is told
+    (b"a" * 152 + b"\x1b\x65" + b"a" * 20, 0, "udh", [152, 22]),  # a euro sign is not cut
+    (b"a" * 151 + b"\x1b\x1b" + b"a" * 20, 0, "udh", [153, 20]),  # nor is an escaped escape one that begins
+    ("é".encode("utf-16-be") * 70, 8, "udh", [140]), ("é".encode("utf-16-be") * 71, 8, "udh", [134, 8]),
+    (("é" * 66 + "😀" + "é" * 10).encode("utf-16-be"), 8, "udh", [132, 24]), (b"x" * 141, 4, "udh", [134, 7]),
+])
+def test_texts_are_cut_where_the_air_needs_it_and_nowhere_else(text: bytes, coding: int, how: str,
+                                                               sizes: list[int]) -> None:
+    found = parts.split(text, coding, how)
+    assert [len(part) for part in found] == sizes and b"".join(found) == text
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(st.text(st.sampled_from("aé€[😀\x1b"), min_size=1, max_size=700), st.sampled_from(["udh", "sar"]))
+def test_cut_texts_come_back_whole_through_our_own_joining(text: str, how: str) -> None:
+    coding, body = coded(text.encode())
+    cut = parts.split(body, coding, how)
+    if coding == parts.UCS_2:
+        assert all(part.decode("utf-16-be") for part in cut)
+    back = []
+    for place, piece in enumerate(cut, 1):
+        data, tlvs = parts.marked(piece, how, 300, len(cut), place)
+        assert len(data) <= (160 if coding == parts.GSM else 140)
+        pdu = Pdu(Command.SUBMIT_SM, 1, 0, {"esm_class": parts.UDHI if how == "udh" else 0}, data, tlvs)
+        part, rest = parts.part_of(pdu, data)
+        assert part is not None and (part.total, part.place) == (len(cut), place)
+        back.append(rest)
+    assert b"".join(back) == body
+
+
+@pytest.mark.parametrize(("text", "coding", "octets"), [
+    ("abc", 0, b"abc"), ("@£€", 0, b"\x00\x01\x1be"), ("[ÿ", 3, b"[\xff"), ("žõ", 8, "žõ".encode("utf-16-be")),
+    ("😀", 8, "😀".encode("utf-16-be")), (b"\xff\xfe", 4, b"\xff\xfe"),
+])
+def test_the_smallest_alphabet_that_has_all_letters(text: str | bytes, coding: int, octets: bytes) -> None:
+    assert coded(text.encode() if isinstance(text, str) else text) == (coding, octets)
+
+
+LONG = b"a" * 400  # three parts
+
+
+def long_one(stage: Stage, contractor: StandInContractor, service: str) -> str:
+    answer = asked(stage, contractor, Command.SUBMIT_SM, b"", [(p.MESSAGE_PAYLOAD, LONG)], service_type=service,
+                   source_addr="100", destination_addr="3725550", registered_delivery=1)
+    return answer.text("message_id")
+
+
+@pytest.mark.parametrize("how", [UDH, SAR])
+def test_a_long_text_goes_in_parts_and_is_delivered_when_all_are(tmp_path: Path, how: str) -> None:
+    stage = Stage(tmp_path)
+    gate = StandInGateway(stage)
+    stage.open(gateway(gate.address, split=how, window=2))
+    contractor = stage.contractor()
+    names = [long_one(stage, contractor, "PAY") for _ in range(2)]
+    stage.until(lambda: len(contractor.receipts) == 2)
+    assert contractor.ends() == {name: {State.DELIVERED} for name in names} and len(gate.submits) == 6
+    found: dict[int, dict[int, bytes]] = {}
+    for pdu in gate.submits:
+        part, text = parts.part_of(pdu, pdu.message)
+        assert part is not None and part.total == 3
+        found.setdefault(part.ref, {})[part.place] = text
+    assert [b"".join(pieces[n] for n in (1, 2, 3)) for pieces in found.values()] == [LONG, LONG]
+    assert gate.most_out <= 2
+
+
+# The status of each submit_sm in turn (None: no answer), the class; ends, and how often each part went out.
+@pytest.mark.parametrize(("statuses", "service", "end", "times"), [
+    ([0, Status.ESME_RSYSERR], "PAY", State.UNDELIVERABLE, 1),  # one part in doubt: never again
+    ([0, 0, None], "PAY", State.UNDELIVERABLE, 1), ([0, Status.ESME_RTHROTTLED], "PAY", State.UNDELIVERABLE, 1),
+    ([Status.ESME_RTHROTTLED], "PAY", State.DELIVERED, 2),  # the first was turned away: nothing has run
+    ([0, Status.ESME_RSYSERR], "RD", State.DELIVERED, 2), ([0, Status.ESME_RTHROTTLED], "WO", State.DELIVERED, 2),
+    ([0, 0, None], "RD", State.DELIVERED, 2), ([Status.ESME_RINVDSTADR], "RD", State.REJECTED, 1),
+])
+def test_class_rules_hold_for_the_whole(tmp_path: Path, statuses: list[int | None], service: str, end: State,
+                                        times: int) -> None:
+    stage = Stage(tmp_path)
+    left = list(statuses)
+    gate = StandInGateway(stage, script=lambda _: left.pop(0) if left else 0)
+    stage.open(gateway(gate.address, split="sar", window=8))
+    contractor = stage.contractor()
+    name = long_one(stage, contractor, service)
+    stage.until(lambda: contractor.receipts and not stage.journal.entries)
+    states = contractor.ends()[name]
+    assert len(states) == 1 and (states == {end} or end is State.REJECTED and states <= {5, 8})
+    first = [pdu for pdu in gate.submits if pdu.tlv(p.SAR_SEGMENT_SEQNUM) == b"\1"]
+    assert len(first) == times and len({pdu.tlv(p.SAR_MSG_REF_NUM) for pdu in first}) == times
+
+
+def test_parts_after_a_failed_one_are_not_sent_and_the_first_send_counts(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    left = [0, 0, Status.ESME_RSYSERR]
+    gate = StandInGateway(stage, script=lambda _: left.pop(0) if left else 0, pause=lambda _: 200_000)
+    stage.open(gateway(gate.address, split="sar", window=1))
+    contractor = stage.contractor()
+    stage.loop.spawn(long_one, stage, contractor, "WO")
+    stage.until(lambda: len(gate.submits) == 2)
+    (entry,) = stage.journal.entries.values()
+    assert entry.maybe_since is not None and entry.maybe_since <= gate.calls[0], "the window begins with the first part"
+    left[:] = [Status.ESME_RSYSERR]
+    stage.until(lambda: len(gate.submits) == 3)
+    again = Stage(tmp_path / "..")
+    gate = StandInGateway(again, script=lambda pdu: 0 if pdu.tlv(p.SAR_SEGMENT_SEQNUM) == b"\1" else 8)
+    again.open(gateway(gate.address, split="sar", window=1))
+    contractor = again.contractor()
+    long_one(again, contractor, "PAY")
+    again.until(lambda: contractor.receipts)
+    assert len(gate.submits) == 2
+
+
+def test_a_late_answer_of_one_part_does_not_deliver_the_whole(tmp_path: Path) -> None:
+    def pause(pdu: Pdu) -> int:
+        return 450_000 if pdu.tlv(p.SAR_SEGMENT_SEQNUM) == b"\2" else 390_000 if pdu.message == b"other" else 5_000
+
+    stage = Stage(tmp_path)
+    bad = [1]
+    gate = StandInGateway(stage, pause=pause, script=lambda pdu: (
+        Status.ESME_RSYSERR if pdu.tlv(p.SAR_SEGMENT_SEQNUM) == b"\3" and bad and bad.pop() else 0))
+    stage.open(gateway(gate.address, "one", split="sar", window=9))
+    contractor = stage.contractor()
+    name = long_one(stage, contractor, "RD")
+    stage.wait(200_000)
+    asked(stage, contractor, Command.SUBMIT_SM, b"other", service_type="PAY", destination_addr="3725550")
+    stage.until(lambda: name in contractor.ends())
+    assert len([pdu for pdu in gate.submits if pdu.tlv(p.SAR_SEGMENT_SEQNUM) == b"\3"]) >= 2
+
+
+def test_an_attempt_in_parts_is_over_when_the_last_late_one_is() -> None:
+    doubt = Doubt(SECOND, 3)
+    doubt.out = 2
+    doubt.settle(Pdu(Command.SUBMIT_SM_RESP))
+    assert not doubt.over
+    doubt.settle(None)
+    assert doubt.over and doubt.answer is None
