--- /dev/null
+++ b/tests/smpp/test_others.py
@@ -0,0 +1,56 @@
+"""A client library written by others against the program itself: long texts, receipts, query, cancel."""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+
+import smpplib.client
+import smpplib.consts
+import smpplib.gsm
+
+from tests.test_program import FAR, Program, World, free_port, until, world
+
+__all__ = ["world"]
+
+
+def test_a_library_of_others_binds_sends_in_parts_asks_and_withdraws(tmp_path: Path, world: str) -> None:
+    port = free_port()
+    conf = tmp_path / "k.conf"
+    conf.write_text(f"smpp\n  enabled on\n  listen 127.0.0.1:{port}\n  destination 372 7\n"
+                    "smpp-account acme\n  password-file pw\n  message-class reading\n")
+    (tmp_path / "pw").write_text("pw\n")
+    (tmp_path / "pw").chmod(0o600)
+    program = Program(tmp_path, world, KESTRELSPAR_CONF=str(conf)).ready()
+    client = smpplib.client.Client("127.0.0.1", port, timeout=FAR, allow_unknown_opt_params=True)
+    answers: dict[int, object] = {}
+    receipts: list[bytes] = []
+    client.set_message_sent_handler(lambda pdu: answers.__setitem__(pdu.sequence, pdu.message_id.decode()))
+    client.set_message_received_handler(lambda pdu: receipts.append(pdu.receipted_message_id) or 0)
+    client.set_query_resp_handler(lambda pdu: answers.__setitem__(pdu.sequence, pdu.message_state))
+    client.connect()
+    client.bind_transceiver(system_id="acme", password="pw")
+
+    def sent(**fields: object) -> str:
+        pdu = client.send_message(source_addr="100", destination_addr="3721", registered_delivery=True, **fields)
+        while pdu.sequence not in answers:
+            client.read_once()
+        return str(answers[pdu.sequence])
+
+    pieces, coding, esm = smpplib.gsm.make_parts("long " * 80)
+    names = [sent(short_message=piece, data_coding=coding, esm_class=esm) for piece in pieces]
+    assert len(names) == 3
+    while len(receipts) < 3:
+        client.read_once()
+    assert {name.rstrip(b"\0").decode() for name in receipts} == set(names) and len(World.calls) == 1
+    later = sent(short_message=b"x", schedule_delivery_time="000000000100000R")
+    for name, state in ((names[0], smpplib.consts.SMPP_MESSAGE_STATE_DELIVERED), (later, 1)):
+        query = client.query_message(message_id=name, source_addr_ton=0, source_addr_npi=0, source_addr="100")
+        while query.sequence not in answers:
+            client.read_once()
+        assert answers[query.sequence] == state
+    client.unbind()
+    client.disconnect()
+    until(lambda: program.ask("GET", "/health/ready") == 200)
+    code, out = program.end(signal.SIGTERM)
+    assert code == 0 and "event=fault" not in out
