Stand-ins share one listener and accept loop

Cause: the accept loop stood twice, in the registry's and the platform's stand-ins. Change: standins/server.py.

--- a/benchmarks/message.py
+++ b/benchmarks/message.py
@@ -21,6 +21,7 @@
 from kestrelspar.runtime.buffers import BufferPool, Stream
 from kestrelspar.runtime.loop import MS, SECOND, Loop, connect
 from kestrelspar.standins import platform
+from kestrelspar.standins.server import free_listener
 
 HOPS, CLIENTS = 4, 8
 
@@ -46,7 +47,7 @@
     rows = [{"name": f"hop-{n}", "address": hop.address, "zone": "room-a", "type": "utility", "group": n,
              "status": "active", "weight": 1.0, "since_ms": 0} for n, hop in enumerate(hops)]
     discovery = platform.Discovery(loop, rows)
-    with platform.free_listener() as taken:
+    with free_listener() as taken:
         listen = taken.getsockname()
     answers = [0]
     with tempfile.TemporaryDirectory() as folder:
--- a/benchmarks/registry.py
+++ b/benchmarks/registry.py
@@ -29,6 +29,7 @@
 from kestrelspar.settings.resolve import Registry
 from kestrelspar.standins import platform
 from kestrelspar.standins.registry import Member, Store
+from kestrelspar.standins.server import free_listener
 from snowlock import settings
 from snowlock.interface import EndpointState
 
@@ -179,7 +180,7 @@
         seen = platform.Seen()
         hops = [platform.NextHop(loop, seen, n, platform.Manners(5 * MS, 10 * MS)) for n in range(2)]
         store = Store()
-        listener = platform.free_listener()
+        listener = free_listener()
         member = Member(loop, store, listener)
         calls: dict[bytes, int] = {}
         attempt = carrier.attempt
--- a/kestrelspar/cli/demo.py
+++ b/kestrelspar/cli/demo.py
@@ -24,6 +24,7 @@
 from kestrelspar.runtime.loop import MS, SECOND, Loop, connect
 from kestrelspar.standins import platform
 from kestrelspar.standins.platform import CLASSES, Manners, Seen
+from kestrelspar.standins.server import free_listener
 
 READY_WITHIN = 15 * SECOND
 SETTLE = 20 * SECOND  # after the last hand-in: the longest deadline, and the notice's way
@@ -54,7 +55,7 @@
                 for place, hop in enumerate(hops) for group in GROUPS]
         self.discovery = platform.Discovery(loop, rows)
         self.discovery.heard = self._notice
-        with platform.free_listener() as taken:  # the courier listens itself
+        with free_listener() as taken:  # the courier listens itself
             self.listen: tuple[str, int] = taken.getsockname()
         told = platform.configuration("{}:{}".format(*self.listen), self.discovery.address, str(folder))
         told["known"]["endpoints"] = rows
--- a/kestrelspar/standins/platform.py
+++ b/kestrelspar/standins/platform.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import socket
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -14,6 +13,7 @@
 from kestrelspar.http import parser
 from kestrelspar.runtime.buffers import BufferPool, Closed, Late, Stream
 from kestrelspar.runtime.loop import MS, SECOND, Loop
+from kestrelspar.standins.server import accept, free_listener
 
 CLASSES = ("reading", "work-order", "payment")
 NS = 1_000
@@ -44,33 +44,13 @@
             "known": {"index": 1, "snapshot": True, "endpoints": []}, "settings": settings(), **more}
 
 
-def free_listener() -> socket.socket:
-    """A listening socket on loopback, on a port that was free."""
-    sock = socket.socket()
-    sock.bind(("127.0.0.1", 0))
-    sock.listen(512)
-    sock.setblocking(False)
-    return sock
-
-
 class Server:
     """Answers HTTP requests on a listener; ``reply`` gives the whole answer, or nothing to close without one."""
 
     def __init__(self, loop: Loop) -> None:
         self.loop, self.buffers, self.listener = loop, BufferPool(2048), free_listener()
         self.address = "{}:{}".format(*self.listener.getsockname())
-        loop.spawn(self._accept)
-
-    def _accept(self) -> None:
-        while True:
-            self.loop.readable(self.listener, None)
-            try:
-                sock, _ = self.listener.accept()
-            except OSError:
-                continue
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.loop.spawn(self._serve, Stream(self.loop, sock, self.buffers))
+        loop.spawn(accept, loop, self.listener, self.buffers, self._serve)
 
     def _serve(self, stream: Stream) -> None:
         try:
--- a/kestrelspar/standins/registry.py
+++ b/kestrelspar/standins/registry.py
@@ -20,6 +20,7 @@
 from kestrelspar.http import parser
 from kestrelspar.runtime.buffers import BufferPool, Closed, Late, Stream
 from kestrelspar.runtime.loop import LATE, MS, SECOND, Loop, Parking
+from kestrelspar.standins.server import accept
 
 FAR = 3_600 * SECOND
 MOST = 4_000_000
@@ -180,7 +181,7 @@
         self.buffers = BufferPool(4096)
         self.asked: list[tuple[str, dict[str, Any]]] = []  # the last requests
         self.streams: set[Stream] = set()
-        loop.spawn(self._accept)
+        loop.spawn(accept, loop, listener, self.buffers, self._serve, lambda: self.faults.refuse)
 
     def drop_all(self) -> None:
         """Cut every connection."""
@@ -193,20 +194,6 @@
         lag = self.faults.lag
         return self.store.revision if lag is None else min(lag, self.store.revision)
 
-    def _accept(self) -> None:
-        while True:
-            self.loop.readable(self.listener, None)
-            try:
-                sock, _ = self.listener.accept()
-            except OSError:
-                continue
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            if self.faults.refuse:
-                sock.close()
-                continue
-            self.loop.spawn(self._serve, Stream(self.loop, sock, self.buffers))
-
     def _serve(self, stream: Stream) -> None:
         self.streams.add(stream)
         try:
