SMPP: parts end by their own deadline, and one part's id does not replace the whole

Cause, found by reading the diff again: a set of parts waited for parts-within even where a part's deadline came first (and anew after each restart), so that part's end came too late; replace_sm on one part's id would have put its text in place of the whole message's.

--- a/kestrelspar/registry/sync.py
+++ b/kestrelspar/registry/sync.py
@@ -93,8 +93,7 @@
         self._keys: dict[bytes, list[str]] = {}  # by name; the first key's entry counts
         self._bad: set[str] = set()  # keys whose value can't be read, each told once
         self._before: int | None = None  # entries held when the change that is under way began
-        self._lost = 0
-        self._went: set[str] = set()
+        self._went: set[str] = set()  # keys lost or draining in it
 
     def put(self, item: Item, news: News) -> None:
         """A key is there with this value. What can't be read leaves the entry as it was."""
@@ -159,9 +158,7 @@
         """One more entry lost or draining, in the change that is under way."""
         if self._before is None:
             self._before = len(self.held)
-        if key not in self._went:
-            self._went.add(key)
-            self._lost += 1
+        self._went.add(key)
 
     def lack(self, seen: Iterable[str], news: News) -> None:
         """A whole list has just these keys."""
@@ -170,7 +167,7 @@
 
     def settled(self, news: News) -> None:
         """The change that was under way is complete: if it took most of the list at once, say so loudly."""
-        before, lost, self._before, self._lost = self._before, self._lost, None, 0
+        before, lost, self._before = self._before, len(self._went), None
         self._went.clear()
         if before and (not self.held or lost > 1 and lost * LOST_MOST > before):
             news.events.append((ERROR, "registry-lost-most", {"lost": lost, "of": before, "now": len(self.held)}))
--- a/kestrelspar/smpp/parts.py
+++ b/kestrelspar/smpp/parts.py
@@ -134,10 +134,14 @@
             return Place.NO_ROOM, 0
         return (Place.WHOLE if len(found.parts) + 1 == found.total else Place.HELD), 0
 
-    def add(self, now: int, key: Key, part: Part, number: int, size: int) -> Set | None:
-        """Hold a part; its set if that makes it whole, which is let go of then."""
+    def add(self, now: int, key: Key, part: Part, number: int, size: int, deadline: int) -> Set | None:
+        """Hold a part; its set if that makes it whole, which is let go of then.
+
+        A set waits no longer than the first ``deadline`` of its parts: each is owed its end by then.
+        """
         name = (*key, part.how, part.ref, part.total)
         found = self._sets.setdefault(name, Set(part.total, now + self._within))
+        found.until = min(found.until, deadline)
         found.parts[part.place] = number, size
         return self._sets.pop(name) if len(found.parts) == found.total else None
 
--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -208,20 +208,27 @@
         if place is Place.REPEATED:  # both were handed in at once, and each was answered
             self._part_ends(message)
             return
-        whole = self._joiner.add(self.loop.now, key, part, message.number, len(message.body))
+        # A little before the deadline, so that the end is told in time.
+        whole = self._joiner.add(self.loop.now, key, part, message.number, len(message.body),
+                                 message.deadline - 200 * MS)
         if whole is not None:
             self._join([self._parts[number] for number in whole.numbers])
-        elif self._sweep is None:
-            self._sweep = self.loop.at(self._joiner.next_late or self.loop.now, self._part_times)
+        else:
+            self._set_sweep()
+
+    def _set_sweep(self) -> None:
+        """Look again when the next set's time is up, which may be sooner than it was."""
+        if self._sweep is not None:
+            self._sweep.cancel()
+        due = self._joiner.next_late
+        self._sweep = None if due is None else self.loop.at(due, self._part_times)
 
     def _part_times(self) -> None:
         """Sets whose time is up end, each part for itself."""
-        self._sweep = None
         for late in self._joiner.late(self.loop.now):
             for number in late.numbers:
                 self._part_ends(self._parts[number])
-        if self._joiner.next_late is not None:
-            self._sweep = self.loop.at(self._joiner.next_late, self._part_times)
+        self._set_sweep()
 
     def _part_ends(self, message: Message) -> None:
         self._parts.pop(message.number, None)
@@ -442,6 +449,8 @@
             return pdu.reply(Status.ESME_RINVMSGID)
         if pdu.text("schedule_delivery_time") or pdu.text("validity_period"):
             return pdu.reply(Status.ESME_RREPLACEFAIL)  # the deadline that was promised stays
+        if any("parts" in message.extra for message in found):
+            return pdu.reply(Status.ESME_RREPLACEFAIL)  # the id is one part's, the text would be the whole's
         for message in found:
             told = message.extra["smpp"] | {"registered_delivery": pdu.number("registered_delivery"),
                                             "sm_default_msg_id": pdu.number("sm_default_msg_id")}
--- a/tests/smpp/test_others.py
+++ b/tests/smpp/test_others.py
@@ -1,4 +1,4 @@
-"""A client library written by others against the program itself: long texts, receipts, query, cancel."""
+"""A client library written by others against the program itself: long texts, receipts, query."""
 
 from __future__ import annotations
 
@@ -9,19 +9,14 @@
 import smpplib.consts
 import smpplib.gsm
 
-from tests.test_program import FAR, Program, World, free_port, until, world
+from tests.test_program import FAR, Program, World, free_port, smpp_conf, until, world
 
 __all__ = ["world"]
 
 
-def test_a_library_of_others_binds_sends_in_parts_asks_and_withdraws(tmp_path: Path, world: str) -> None:
+def test_a_library_of_others_binds_sends_in_parts_and_asks(tmp_path: Path, world: str) -> None:
     port = free_port()
-    conf = tmp_path / "k.conf"
-    conf.write_text(f"smpp\n  enabled on\n  listen 127.0.0.1:{port}\n  destination 372 7\n"
-                    "smpp-account acme\n  password-file pw\n  message-class reading\n")
-    (tmp_path / "pw").write_text("pw\n")
-    (tmp_path / "pw").chmod(0o600)
-    program = Program(tmp_path, world, KESTRELSPAR_CONF=str(conf)).ready()
+    program = Program(tmp_path, world, KESTRELSPAR_CONF=smpp_conf(tmp_path, port)).ready()
     client = smpplib.client.Client("127.0.0.1", port, timeout=FAR, allow_unknown_opt_params=True)
     answers: dict[int, object] = {}
     receipts: list[bytes] = []
--- a/tests/smpp/test_parts.py
+++ b/tests/smpp/test_parts.py
@@ -63,7 +63,7 @@
         part = Part("sar", 1, 6, place)
         if whole or joiner.look(("a",), part, 10)[0] is Place.REPEATED:
             continue
-        found = joiner.add(0, ("a",), part, next(number) * 10 + place, 10)
+        found = joiner.add(0, ("a",), part, next(number) * 10 + place, 10, 1 << 60)
         whole += [found] if found else []
     assert len(whole) == 1 and [n % 10 for n in whole[0].numbers] == [1, 2, 3, 4, 5, 6] and joiner.next_late is None
 
@@ -72,7 +72,7 @@
     joiner = Joiner(SECOND)
     for n in range(parts.MOST_SETS):
         assert joiner.look((n,), Part("sar", 1, 2, 1), 10)[0] is Place.HELD
-        joiner.add(n, (n,), Part("sar", 1, 2, 1), n, 60_000)
+        joiner.add(n, (n,), Part("sar", 1, 2, 1), n, 60_000, 1 << 60)
     assert joiner.look(("one more",), Part("sar", 1, 2, 1), 10)[0] is Place.NO_ROOM
     assert joiner.look((0,), Part("sar", 1, 2, 2), 60_000)[0] is Place.NO_ROOM  # a message larger than any
     assert joiner.look((0,), Part("sar", 1, 2, 2), 10)[0] is Place.WHOLE
@@ -118,6 +118,34 @@
     assert submit_part(stage, contractor, SAR, 9, 2).status == 0  # begins a set of its own
 
 
+def test_parts_end_by_their_own_deadline_also_when_a_later_set_has_the_earlier_one(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    stage.open(gateway(("127.0.0.1", 1)))
+    contractor = stage.contractor()
+    begin = stage.loop.now
+    submit_part(stage, contractor, SAR, 1, 1)
+    brief = asked(stage, contractor, Command.SUBMIT_SM, b"x", sar(2, 3, 1), service_type="WO", source_addr="100",
+                  destination_addr="3725550", registered_delivery=1, validity_period="000000000003000R")
+    stage.until(lambda: contractor.receipts)
+    assert contractor.ends() == {brief.text("message_id"): {State.EXPIRED}} and stage.loop.now - begin <= 3 * SECOND
+
+
+def test_one_parts_id_does_not_replace_the_whole(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    stage.open(gateway(("127.0.0.1", 1)))
+    contractor = stage.contractor()
+    told = {"source_addr": "100", "destination_addr": "3725550", "service_type": "WO", "registered_delivery": 1,
+            "schedule_delivery_time": "000000000100000R"}
+    names = [asked(stage, contractor, Command.SUBMIT_SM, TEXT[n - 1], sar(7, 3, n), **told).text("message_id")
+             for n in (1, 2, 3)]
+    stage.until(lambda: len(stage.journal.entries) == 1)
+    for command, status in ((Command.REPLACE_SM, Status.ESME_RREPLACEFAIL), (Command.CANCEL_SM, 0)):
+        assert asked(stage, contractor, command, b"new" if command is Command.REPLACE_SM else b"",
+                     message_id=names[1], source_addr="100").status == status
+    stage.until(lambda: len(contractor.receipts) == 3)
+    assert contractor.ends() == {name: {State.DELETED} for name in names}
+
+
 def test_parts_outlast_a_restart_and_a_crash_between_joining_and_letting_go(tmp_path: Path) -> None:
     stage = Stage(tmp_path)
     stage.open(gateway(("127.0.0.1", 1)))  # nobody is there
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -149,14 +149,19 @@
     assert program.end(signal.SIGTERM)[0] == 0
 
 
-def test_the_smpp_front_is_served_by_the_same_program(tmp_path: Path, world: str) -> None:
-    port = free_port()
-    conf = tmp_path / "k.conf"
+def smpp_conf(folder: Path, port: int) -> str:
+    """A settings file with the SMPP front on that port, one account, and the destination of ``Program``'s next hop."""
+    conf = folder / "k.conf"
     conf.write_text(f"smpp\n  enabled on\n  listen 127.0.0.1:{port}\n  destination 372 7\n"
                     "smpp-account acme\n  password-file pw\n  message-class reading\n")
-    (tmp_path / "pw").write_text("pw\n")
-    (tmp_path / "pw").chmod(0o600)
-    program = Program(tmp_path, world, KESTRELSPAR_CONF=str(conf)).ready()
+    (folder / "pw").write_text("pw\n")
+    (folder / "pw").chmod(0o600)
+    return str(conf)
+
+
+def test_the_smpp_front_is_served_by_the_same_program(tmp_path: Path, world: str) -> None:
+    port = free_port()
+    program = Program(tmp_path, world, KESTRELSPAR_CONF=smpp_conf(tmp_path, port)).ready()
     with socket.create_connection(("127.0.0.1", port), timeout=FAR) as sock:
         got = b""
 
