TLS and keys for SMPP and registries, hashed passwords, networks, waits after refusals

Accounts may need a client certificate's name and a network; password files may hold scrypt hashes (passwords.py); smpp/door.py lets an address wait after its third refused bind. Neither ssl nor cryptography is imported where no section `tls` is there.

--- a/kestrelspar/cli/config.py
+++ b/kestrelspar/cli/config.py
@@ -42,6 +42,7 @@
             settings = platform.read(os.environ).settings
             resolve.smpp(found, settings)
         resolve.registries(found)
+        resolve.keys(found)
     except ValueError as error:
         raise BadConfiguration(error) from error
     click.echo(f"{path}: no fault found")
--- a/kestrelspar/cli/map.py
+++ b/kestrelspar/cli/map.py
@@ -80,7 +80,8 @@
         self.told = told
 
     def _member(self, loop: Loop, server: tuple[str, int]) -> Etcd | Consul:
-        link = Link(loop, BufferPool(64), server, self.told.told.answer_within)
+        link = Link(loop, BufferPool(64), server, self.told.told.answer_within,
+                    self.told.secure, self.told.told.server_name)
         return Etcd(link, self.told) if self.told.told.type == "etcd" else Consul(link, self.told)
 
     def _first(self, call: Callable[[Etcd | Consul], T]) -> T:
@@ -150,7 +151,10 @@
     """The registry that is meant."""
     path = conf or conf_file.where(os.environ)
     try:
-        found = resolve.registries(conf_file.load(path))
+        read = conf_file.load(path)
+        keys = resolve.keys(read)
+        found = resolve.registries(read)
+        found = found if keys is None else keys.secured(found)
     except ValueError as error:
         raise BadConfiguration(error) from error
     named = [r for r in found if label in (None, r.label)]
--- a/kestrelspar/registry/follower.py
+++ b/kestrelspar/registry/follower.py
@@ -68,7 +68,8 @@
         told = self.told.told
         for link in self._links:
             link.close()
-        self._links = [Link(self.loop, self.buffers, server, told.answer_within) for server in told.servers]
+        self._links = [Link(self.loop, self.buffers, server, told.answer_within, self.told.secure, told.server_name)
+                       for server in told.servers]
         self._members = [Etcd(link, self.told) if told.type == "etcd" else Consul(link, self.told)
                          for link in self._links]
 
@@ -164,7 +165,8 @@
         sync = self.sync
         assert isinstance(sync, EtcdSync)
         which = sync.member
-        link = Link(self.loop, self.buffers, self.told.told.servers[which], self.told.told.answer_within)
+        link = Link(self.loop, self.buffers, self.told.told.servers[which], self.told.told.answer_within,
+                    self.told.secure, self.told.told.server_name)
         self._links.append(link)  # for ``move`` and ``stop`` to close
         watcher = Etcd(link, self.told, member.account)
         checked, silence = self.loop.now, min(AGAIN, self.told.told.check)
--- a/kestrelspar/registry/link.py
+++ b/kestrelspar/registry/link.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING
 
 from kestrelspar.http import parser
 from kestrelspar.runtime.buffers import BufferPool, Closed, Late, Stream
 from kestrelspar.runtime.loop import Loop, connect
 
+if TYPE_CHECKING:
+    import ssl
+
 MOST_ANSWER = 64_000_000  # bytes of an answer that is read whole
 
 
@@ -37,7 +41,10 @@
 class Link:
     """A connection to one member, opened when needed. All errors come as ``Broken``."""
 
-    def __init__(self, loop: Loop, buffers: BufferPool, address: tuple[str, int], within: int) -> None:
+    def __init__(self, loop: Loop, buffers: BufferPool, address: tuple[str, int], within: int,
+                 secure: Callable[[], ssl.SSLContext] | None = None, name: str = "") -> None:
+        """``secure`` and the ``name`` that the member's certificate must have: where it is called with TLS."""
+        self._secure, self._name = secure, name
         self.loop, self.buffers, self.address, self._within = loop, buffers, address, within
         self._stream: Stream | None = None
 
@@ -48,10 +55,17 @@
             return stream, True
         if stream is not None:
             stream.close()
-        sock = connect(self.loop, self.address, self.loop.now + self._within)
-        if sock is None:
+        deadline = self.loop.now + self._within
+        if self._secure is not None:
+            from kestrelspar.runtime import tls  # only where it is wanted
+
+            stream = tls.dial(self.loop, self.buffers, self.address, deadline, self._secure(), self._name)
+        else:
+            sock = connect(self.loop, self.address, deadline)
+            stream = None if sock is None else Stream(self.loop, sock, self.buffers)
+        if stream is None:
             raise Broken("no connection")
-        return Stream(self.loop, sock, self.buffers), False
+        return stream, False
 
     def ask(self, method: str, path: str, headers: dict[str, str] | None = None, body: bytes = b"",
             wait: int = 0) -> parser.Head:
--- a/kestrelspar/serve.py
+++ b/kestrelspar/serve.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Mapping
 from functools import partial
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from kestrelspar import plugins
 from kestrelspar.core import entries
@@ -30,6 +31,9 @@
 from kestrelspar.settings.lines import ConfFaults
 from snowlock import interface as api
 
+if TYPE_CHECKING:
+    from kestrelspar.keys import Keys  # with ssl: only where it is wanted
+
 BUFFERS_PART = 8  # of the memory, one in so many bytes goes to read buffers at most
 MOST_KEPT = 0.5  # of the disk, for kept lists; the rest is the journal's
 LATER = ("name", "listen", "state", "sockets", "memory", "disk_bytes", "settings")  # read at the start only
@@ -71,7 +75,10 @@
         self.conf = conf_file.load(conf_file.where(environment), environment)
         self.log = self.conf.one(schema.Log)
         self.smpp = resolve.smpp(self.conf, self.platform.settings)
+        self.keys = resolve.keys(self.conf)
         self.registries = resolve.registries(self.conf)
+        if self.keys is not None:
+            self.registries = self.keys.secured(self.registries)
         extra = self.conf.one(schema.Plugins)
         scripts = extra.scripts if extra.enabled else ()
         self.rules = [rule for name in scripts for rule in plugins.read(Path(name))]
@@ -151,6 +158,11 @@
         fresh = platform.read(environment, again=True)
         conf = conf_file.load(conf_file.where(environment), environment)
         followed = resolve.registries(conf)
+        if told.keys is not None:
+            told.keys.again(conf)
+            followed = told.keys.secured(followed)
+        elif resolve.keys(conf) is not None:
+            raise ValueError("tls: the first keys need a restart")
         if sum(keep.reserve(r.told.keep) for r in followed) > told.reserved:
             raise ValueError("registry.keep: kept lists may take no more disk than at the start "
                              "(restart, or set keep 0B)")
@@ -210,7 +222,7 @@
         for label, rows in all_told.maps.items():
             courier.listed(f"map {label}", [entries.hop(row, told.settings, own) for row in rows], whole=True)
     if smpp is not None and smpp_listener is not None:
-        kept += _smpp(smpp, smpp_listener, loop, buffers, courier, told.seed)
+        kept += _smpp(smpp, smpp_listener, loop, buffers, courier, told.seed, all_told.keys)
     if all_told.rules:
         courier.hooks.append(plugins.Plugins(loop, told.settings, all_told.rules))
         logs.event("plugins", rules=len(all_told.rules))
@@ -226,6 +238,8 @@
         watch.take(told.known)
     registries.follow(all_told.registries)
     courier.resume()
+    if all_told.keys is not None:
+        loop.spawn(all_told.keys.watch, loop)
     loop.spawn(watch.run)
     loop.spawn(server.accept, listener)
     courier.ready = True
@@ -238,15 +252,15 @@
 
 
 def _smpp(told: resolve.Smpp, listener: socket.socket, loop: Loop, buffers: BufferPool, courier: Courier,
-          seed: int) -> int:
+          seed: int, keys: Keys | None) -> int:
     """Serve the SMPP front; how many descriptors it may take."""
     from kestrelspar.smpp.client import Gateways  # only where it is on: the platform's memory is small
     from kestrelspar.smpp.inbound import Arrivals
     from kestrelspar.smpp.server import SmppServer
 
     arrivals = Arrivals(courier, lambda gateway, pdu: contractors.alert(gateway, pdu))
-    gateways = Gateways(loop, buffers, courier.settings, told.gateways, courier, arrivals, seed)
-    contractors = SmppServer(loop, buffers, courier, told, gateways.outbound)
+    gateways = Gateways(loop, buffers, courier.settings, told.gateways, courier, arrivals, seed, keys)
+    contractors = SmppServer(loop, buffers, courier, told, gateways.outbound, keys)
     courier.senders[contractors.name] = contractors
     courier.senders[arrivals.name] = arrivals
     courier.later[gateways.name] = gateways
--- a/kestrelspar/settings/resolve.py
+++ b/kestrelspar/settings/resolve.py
@@ -3,13 +3,24 @@
 from __future__ import annotations
 
 import difflib
+import ipaddress
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
+from kestrelspar import passwords
 from kestrelspar.settings import kinds, schema
 from kestrelspar.settings.conf import Conf, Told
 from kestrelspar.settings.lines import ConfFaults, Fault
 from snowlock import interface as api
 
+if TYPE_CHECKING:
+    import ssl
+
+    from kestrelspar.keys import Keys  # with ssl: only where it is wanted
+
+PASSWORD = 8  # bytes of an SMPP password at most
+
 
 @dataclass(frozen=True, slots=True)
 class Account:
@@ -24,6 +35,8 @@
     zone: int = 0
     kind: int = 0
     outbind: tuple[str, int] | None = None
+    networks: tuple[ipaddress.IPv4Network, ...] = ()
+    certificate: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +74,8 @@
     inbound_tenant: int = 0
     outbind_system_id: str = ""
     outbind_password: str = ""
+    tls: str = ""  # the section's label
+    server_name: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +94,7 @@
     destinations: dict[str, int]  # by prefix of the destination address
     gateways: tuple[Gateway, ...]
     keep_ended: int = 0  # how long an ended message can be asked for
+    tls: str = ""  # the section's label
     parts_within: int = 10_000_000  # how long the parts of a long message are waited for; 0: they are not joined
 
 
@@ -90,6 +106,7 @@
     told: schema.Registry
     password: str = ""
     token: str = ""
+    secure: Callable[[], ssl.SSLContext] | None = None  # the newest keys for a call, where it is called with TLS
 
 
 class _Names:
@@ -109,8 +126,8 @@
         self.faults.append(told.fault(key, f"unknown {what} {name!r:.40} (wanted: {', '.join(names)}{near})"))
         return 0
 
-    def secret(self, told: Told, key: str, path: str, most: int = 4096) -> str:
-        """The secret in the file."""
+    def secret(self, told: Told, key: str, path: str, most: int = 4096, hashes: bool = False) -> str:
+        """The secret in the file; ``hashes``: a hash of it will do."""
         if not path:
             return ""
         try:
@@ -118,7 +135,11 @@
         except ValueError as error:
             self.faults.append(told.fault(key, str(error)))
             return ""
-        if len(found.encode()) > most:
+        if most == PASSWORD and passwords.is_hash(found):
+            if not hashes or not passwords.usable(found):
+                what = "holds a hash that can't be used" if hashes else "holds a hash, where a password is needed"
+                self.faults.append(told.fault(key, f"{path} {what}"))
+        elif len(found.encode()) > most:
             self.faults.append(told.fault(key, f"{path} holds more than {most} bytes"))
         return found
 
@@ -144,32 +165,36 @@
         if len(told.label.encode()) > 15:
             look.faults.append(told.fault("", f"{told.label!r:.40} is longer than a system_id of 15 bytes"))
         accounts.append(Account(
-            told.label, look.secret(told, "password-file", a.password_file, 8),
+            told.label, look.secret(told, "password-file", a.password_file, PASSWORD, not a.outbind),
             look.place(told, "tenant", a.tenant, tenants, "tenant"),
             look.place(told, "message-class", a.message_class, classes, "class"), a.window,
             None if a.destination < 0 else a.destination, look.place(told, "zone", a.zone, settings.zones, "zone"),
             look.place(told, "type", a.type, settings.kinds, "type"), a.outbind[0] if a.outbind else None,
+            tuple(ipaddress.IPv4Network(network) for network in a.networks), a.certificate,
         ))
+        if a.certificate and not top.tls:
+            look.faults.append(told.fault("certificate", "can't be seen without smpp.tls"))
     for told in conf.many(schema.SmppGateway):
         g = told.values
         assert isinstance(g, schema.SmppGateway)
         gateways.append(Gateway(
             told.label, g.address, g.destination, look.place(told, "zone", g.zone, settings.zones, "zone"),
             look.place(told, "type", g.type, settings.kinds, "type"), g.system_id,
-            look.secret(told, "password-file", g.password_file, 8), g.bind, g.window, g.response,
+            look.secret(told, "password-file", g.password_file, PASSWORD), g.bind, g.window, g.response,
             g.enquire_link, g.throttle_wait, g.source_addr, g.destination_addr, g.split, g.coding,
             g.sessions, g.rate, g.rank, g.bind_wait, g.bind_wait_most, g.idle_unbind, g.stay_bound or bool(g.inbound),
             g.outcome, g.response_id, g.receipt_id, dict(g.inbound),
             look.place(told, "inbound-class", g.inbound_class, classes, "class") if g.inbound else 0,
             look.place(told, "inbound-tenant", g.inbound_tenant, tenants, "tenant"),
-            g.outbind_system_id, look.secret(told, "outbind-password-file", g.outbind_password_file, 8),
+            g.outbind_system_id, look.secret(told, "outbind-password-file", g.outbind_password_file, PASSWORD),
+            g.tls, g.server_name,
         ))
     services = {name: look.place(front, "service-type", cls, classes, "class")
                 for name, cls in top.service_type.items()}
     look.done()
     return Smpp(top.listen, top.system_id, top.bind_within, top.enquire_link, top.response, top.receipt_hold,
                 top.most_sessions, tuple(accounts), services, dict(top.destination), tuple(gateways), top.keep_ended,
-                top.parts_within if top.join else 0)
+                top.tls, top.parts_within if top.join else 0)
 
 
 def registries(conf: Conf) -> list[Registry]:
@@ -183,3 +208,13 @@
                                   look.secret(told, "token-file", r.token_file)))
     look.done()
     return found
+
+
+def keys(conf: Conf) -> Keys | None:
+    """The sections ``tls`` with their files, read; nothing, and no ssl, where there is none and nothing names one."""
+    naming = [*conf.many(schema.Registry), *conf.many(schema.SmppGateway), conf.told(schema.Smpp)]
+    if not conf.many(schema.Tls) and not any(getattr(told.values, "tls", "") for told in naming):
+        return None
+    from kestrelspar.keys import Keys
+
+    return Keys(conf)
--- a/kestrelspar/settings/schema.py
+++ b/kestrelspar/settings/schema.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 from typing import Annotated, ClassVar
 
 from msgspec import Struct
@@ -65,12 +66,36 @@
     file: Annotated[str, path("the map, as JSON")]
 
 
+class Tls(Section, frozen=True, kw_only=True):
+    """A certificate and key, and who is trusted; other sections name it by its label. Read again on SIGHUP."""
+
+    TITLE: ClassVar[str] = "tls"
+    LABELED: ClassVar[bool] = True
+    certificate: Annotated[str, path("our certificate and its chain, PEM")] = ""
+    key: Annotated[str, path("its key, PEM, which only its owner may read; in the certificate's file by default")] = ""
+    authorities: Annotated[str, path("the authorities that peers' certificates are checked against, PEM; none is "
+                                     "trusted by default")] = ""
+    minimum: Annotated[str, choice("the oldest version that is spoken", "1.2", "1.3")] = "1.2"
+    clients: Annotated[str, choice("of a listener: whether clients show a certificate",
+                                   "none", "wanted", "required")] = "none"
+
+    def wrong(self) -> list[tuple[str, str]]:
+        """A key without a certificate, and clients that could not be checked."""
+        found = []
+        if self.key and not self.certificate:
+            found.append(("key", "needs a certificate beside it"))
+        if self.clients != "none" and not self.authorities:
+            found.append(("clients", "can't be checked without authorities"))
+        return found
+
+
 class Smpp(Section, frozen=True, kw_only=True):
     """The SMPP 3.4 front."""
 
     TITLE: ClassVar[str] = "smpp"
     enabled: Annotated[bool, switch("whether it is served")] = False
     listen: Annotated[Address, address("where contractors bind")] = ("127.0.0.1", 2775)
+    tls: Annotated[str, text("the section tls that it is served with; none: plain", 100)] = ""
     system_id: Annotated[str, text("our name in bind responses", 15)] = "kestrelspar"
     bind_within: Annotated[int, duration("a connection that has not bound by then is closed",
                                          100 * MS, HOUR)] = 5 * SECOND
@@ -94,7 +119,10 @@
 
     TITLE: ClassVar[str] = "smpp-account"
     LABELED: ClassVar[bool] = True
-    password_file: Annotated[str, secret("its password, 8 bytes at most")]
+    password_file: Annotated[str, secret("its password, 8 bytes at most, or the hash of it that `kestrelspar smpp "
+                                         "passwd` prints")]
+    networks: Annotated[tuple[str, ...], text("where it may bind from, like 10.1.0.0/16; anywhere by default", 18)] = ()
+    certificate: Annotated[str, text("the name that the client's certificate must have; none: any, or none", 200)] = ""
     message_class: Annotated[str, text("the class of messages without a service_type", 40, 1)]
     tenant: Annotated[str, text("its tenant, as the settings name it; the first one by default", 200)] = ""
     window: Annotated[int, number("submits and receipts out at once", 1, 10_000)] = 10
@@ -106,8 +134,14 @@
                                                     "has not; one at most")] = ()
 
     def wrong(self) -> list[tuple[str, str]]:
-        """One address at most."""
-        return [("outbind", "names more than one address (wanted: one HOST:PORT)")] if len(self.outbind) > 1 else []
+        """One address at most, and networks that are some."""
+        found = [("outbind", "names more than one address (wanted: one HOST:PORT)")] if len(self.outbind) > 1 else []
+        for network in self.networks:
+            try:
+                ipaddress.IPv4Network(network)
+            except ValueError as error:
+                found.append(("networks", f"{error} (wanted: a network like 10.1.0.0/16)"))
+        return found
 
 
 class SmppGateway(Section, frozen=True, kw_only=True):
@@ -116,6 +150,8 @@
     TITLE: ClassVar[str] = "smpp-gateway"
     LABELED: ClassVar[bool] = True
     address: Annotated[Address, address("where it listens")]
+    tls: Annotated[str, text("the section tls that it is called with; none: plain", 100)] = ""
+    server_name: Annotated[str, text("the name that its certificate must have; its address by default", 200)] = ""
     destination: Annotated[int, number("the destination that it serves", 0, 2**31)]
     system_id: Annotated[str, text("our account there", 15)]
     password_file: Annotated[str, secret("its password, 8 bytes at most")]
@@ -181,6 +217,9 @@
     type: Annotated[str, choice("which protocol it speaks", "etcd", "consul")]
     servers: Annotated[tuple[Address, ...], address("its members; the next one is asked when one fails")]
     prefix: Annotated[str, text("the keys below it are the list", 500, 1)]
+    tls: Annotated[str, text("the section tls that it is called with; none: plain", 100)] = ""
+    server_name: Annotated[str, text("the name that its members' certificates must have; their address by default",
+                                     200)] = ""
     enabled: Annotated[bool, switch("whether it is followed")] = True
     patience: Annotated[int, duration("after so long unheard the list is stale", SECOND, 24 * HOUR)] = 30 * SECOND
     on_stale: Annotated[str, choice("what a stale list means: go on with it, or be not ready and defer hand-ins",
@@ -220,5 +259,5 @@
 
 
 SECTIONS: dict[str, type[Section]] = {
-    struct.TITLE: struct for struct in (Log, Plugins, Map, Registry, Smpp, SmppAccount, SmppGateway)
+    struct.TITLE: struct for struct in (Log, Plugins, Map, Tls, Registry, Smpp, SmppAccount, SmppGateway)
 }
--- a/kestrelspar/smpp/client.py
+++ b/kestrelspar/smpp/client.py
@@ -6,7 +6,7 @@
 import zlib
 from collections.abc import Callable
 from functools import partial
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from kestrelspar.core.courier import DELIVERED, FAILED, NEVER_RAN, RETURNED, Courier, Message, NextHop, Result
 from kestrelspar.core.transport_map import Leave
@@ -23,6 +23,9 @@
 from snowlock import interface as api
 from snowlock.interface import Outcome
 
+if TYPE_CHECKING:
+    from kestrelspar.keys import Keys  # with ssl: only where it is wanted
+
 MOST_EARLY = 1_000  # receipts of one gateway that wait for a response; more are to come again
 ASK_WITHIN = 400 * MS  # for each question about a message whose receipt has not come
 
@@ -64,14 +67,14 @@
 
     def __init__(self, loop: Loop, buffers: BufferPool, settings: api.Settings,
                  gateways: tuple[Gateway, ...], courier: Courier | None = None, inbound: Inbound | None = None,
-                 seed: int = 0) -> None:
+                 seed: int = 0, keys: Keys | None = None) -> None:
         """``courier`` is told the outcomes that come by receipt; ``inbound`` gets the gateways' own messages."""
         self.loop, self.buffers, self.settings = loop, buffers, settings
         self._courier, self._inbound = courier, inbound
         self._links: dict[bytes, Link] = {}
         for gateway in gateways:
             link = Link(loop, buffers, gateway, settings.connect_timeout_ns // 1000,
-                        seed ^ zlib.crc32(gateway.name.encode()), self._handle)
+                        seed ^ zlib.crc32(gateway.name.encode()), self._handle, keys)
             link.wants_to_hear = self._wants(gateway)
             self._links[gateway.name.encode()] = link
         self._doubts: dict[int, Doubt] = {}
--- a/kestrelspar/smpp/link.py
+++ b/kestrelspar/smpp/link.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, Late, Stream
@@ -15,6 +16,9 @@
 from kestrelspar.smpp.session import Lost, NotSent, Session
 from kestrelspar.smpp.table import Bound
 
+if TYPE_CHECKING:
+    from kestrelspar.keys import Keys  # with ssl: only where it is wanted
+
 HOW = {"transmitter": Command.BIND_TRANSMITTER, "transceiver": Command.BIND_TRANSCEIVER,
        "pair": Command.BIND_TRANSMITTER}
 SENDS, HEARS = (Bound.TX, Bound.TRX), (Bound.RX, Bound.TRX)
@@ -41,7 +45,8 @@
     """One gateway. Who wants to send takes a lane and gives it back; those who wait go in turn."""
 
     def __init__(self, loop: Loop, buffers: BufferPool, gateway: Gateway, connect_within: int, seed: int,
-                 handle: Handle) -> None:
+                 handle: Handle, keys: Keys | None = None) -> None:
+        self.keys = keys
         self.loop, self.buffers, self.gateway = loop, buffers, gateway
         self.pace = Pace(float(gateway.rate))
         self.backoff = Backoff(gateway.bind_wait, gateway.bind_wait_most, seed)
@@ -151,11 +156,20 @@
     def _bound(self, how: Command) -> bool:
         """Connect and bind; whether that succeeded. After a failure the next one waits."""
         deadline = self.loop.now + self._connect_within
-        sock = connect(self.loop, self.gateway.address, deadline)
-        if sock is None:
+        stream = self._connect(deadline)
+        if stream is None:
             self._failed("no connection")
             return False
-        return self.adopt(Stream(self.loop, sock, self.buffers), how, deadline)
+        return self.adopt(stream, how, deadline)
+
+    def _connect(self, deadline: int) -> Stream | None:
+        if self.gateway.tls and self.keys is not None:
+            from kestrelspar.runtime import tls  # only where it is wanted
+
+            context = self.keys.client(self.gateway.tls)
+            return tls.dial(self.loop, self.buffers, self.gateway.address, deadline, context, self.gateway.server_name)
+        sock = connect(self.loop, self.gateway.address, deadline)
+        return None if sock is None else Stream(self.loop, sock, self.buffers)
 
     def adopt(self, stream: Stream, how: Command, deadline: int) -> bool:
         """Bind on a connection, whichever side made it; whether it is a lane now."""
--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
+from typing import TYPE_CHECKING
 
 import ujson
 
@@ -17,8 +18,13 @@
 from kestrelspar.runtime.buffers import BufferPool, Closed, Late, Stream
 from kestrelspar.runtime.loop import LATE, MS, SECOND, Loop, Parking, Timer, connect
 from kestrelspar.settings.resolve import Account, Smpp
+
+if TYPE_CHECKING:
+    from kestrelspar.keys import Keys  # with ssl: only where it is wanted
+from kestrelspar.passwords import Verifier
 from kestrelspar.smpp import errors, parts, table
 from kestrelspar.smpp import pdu as p
+from kestrelspar.smpp.door import Door, within
 from kestrelspar.smpp.parts import Place
 from kestrelspar.smpp.pdu import Command, Pdu, Status
 from kestrelspar.smpp.receivers import Receivers
@@ -62,6 +68,12 @@
         self.handing = 0  # submit_sm without an answer yet
         self.refused = 0  # binds
         self.since = session.loop.now
+        self.host = session.name.partition(":")[0]
+
+    def names(self) -> list[str]:
+        """The names in its certificate, where it has shown one."""
+        found: list[str] = getattr(self.session.stream, "names", list)()
+        return found
 
 
 class SmppServer:
@@ -71,8 +83,9 @@
 
     def __init__(self, loop: Loop, buffers: BufferPool, courier: Courier, told: Smpp,
                  outbound: Callable[[str, str], Callable[[Stream], None] | None] = lambda system_id, password: None,
-                 ) -> None:
+                 keys: Keys | None = None) -> None:
         """``outbound`` is asked, by name and password, who binds on the connection that a gateway has made to us."""
+        self._keys, self._door, self._verifier = keys, Door(), Verifier()
         self._outbound = outbound
         self._dialling: dict[str, int] = {}  # by account: when it may be asked to bind again
         self.receivers = Receivers(loop, told.accounts, told.response, self._receiver, self._missed)
@@ -99,13 +112,16 @@
                 logs.warn("not-accepted", front="smpp", why=str(error))
                 self.loop.sleep(20 * MS)
                 continue
+            if self._door.waits(peer[0], self.loop.now):  # it was refused again and again, and has been told so
+                sock.close()
+                continue
             if len(self._guests) >= self.told.most_sessions and not self._make_room():
                 logs.warn("smpp-too-many")
                 sock.close()
                 continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.loop.spawn(self._host, Stream(self.loop, sock, self.buffers), f"{peer[0]}:{peer[1]}")
+            self.loop.spawn(self._receive, sock, f"{peer[0]}:{peer[1]}")
 
     def _make_room(self) -> bool:
         """Close the oldest connection that has not bound: silent ones must not keep contractors out."""
@@ -116,6 +132,26 @@
                 return True
         return False
 
+    def _receive(self, sock: socket.socket, name: str) -> None:
+        """One connection that was made to us: keys first where they are wanted, in its own task and time."""
+        if not self.told.tls or self._keys is None:
+            self._host(Stream(self.loop, sock, self.buffers), name)
+            return
+        from kestrelspar.runtime.tls import TlsStream  # only where it is wanted
+
+        stream = TlsStream(self.loop, sock, self.buffers, self._keys.server(self.told.tls), True, guest=True)
+        guest = Guest(Session(self.loop, stream, name, self.told.enquire, self.told.response))
+        self._guests.append(guest)  # it counts, and gives way, like one that has not bound
+        try:
+            stream.handshake(self.loop.now + self.told.bind_within)
+        except (Closed, Late) as error:
+            logs.warn("tls-handshake-failed", peer=name, why=str(error) or type(error).__name__)
+            stream.close()
+            return
+        finally:
+            self._guests.remove(guest)
+        self._host(stream, name)
+
     def _host(self, stream: Stream, name: str) -> None:
         """One connection from bind to its end."""
         guest = Guest(Session(self.loop, stream, name, self.told.enquire, self.told.response))
@@ -154,17 +190,25 @@
         status = Status.ESME_ROK
         if account is None:
             status = Status.ESME_RINVSYSID
-        elif not errors.same_secret(account.password, pdu.text("password")):
+        elif (not within(guest.host, account.networks)
+              or account.certificate and account.certificate not in guest.names()):
+            status = Status.ESME_RBINDFAIL
+        elif not self._verifier.same(account.password, pdu.text("password")):
             status = Status.ESME_RINVPASWD
         elif self.courier.closing is not None:
             status = Status.ESME_RBINDFAIL
         if status is Status.ESME_ROK:
             guest.account, guest.session.state = account, BINDS[pdu.command]
+            self._door.welcome(guest.host)
             guest.session.name = f"{pdu.text('system_id')}@{guest.session.name}"
         else:
             guest.refused += 1
             logs.warn("smpp-bind-refused", peer=guest.session.name, system_id=pdu.text("system_id"),
                       status=status.name)
+            if status is not Status.ESME_RBINDFAIL or self.courier.closing is None:
+                wait = self._door.refused(guest.host, self.loop.now)
+                if wait:
+                    logs.warn("smpp-address-waits", address=guest.host, wait_ms=wait // MS)
         answer = pdu.reply(status, system_id=self.told.system_id)
         answer.tlvs.append((p.SC_INTERFACE_VERSION, b"\x34"))
         if guest.session.post(answer) and guest.session.state in RECEIVES:
