--- a/kestrelspar/cli/standin.py
+++ b/kestrelspar/cli/standin.py
@@ -83,3 +83,42 @@
         loop.run()
     except KeyboardInterrupt:
         click.echo("ended")
+
+
+@verb.command()
+@click.option("--listen", default="127.0.0.1:2776", show_default=True, help="Its address.")
+@click.option("--limit", type=click.IntRange(0, 100_000), default=0, help="Submits a second; beyond: ESME_RTHROTTLED.")
+@click.option("--window", type=click.IntRange(0, 10_000), default=0, help="Out on a session; beyond: ESME_RMSGQFUL.")
+@click.option("--latency", type=DURATION, default="5ms", show_default=True, help="How long an answer takes.")
+@click.option("--receipts", type=DURATION, help="Receipts, so long after the answer.")
+@click.option("--lost", type=click.FloatRange(0, 1), default=0.0, help="Share of receipts that never come.")
+@click.option("--undelivered", type=click.FloatRange(0, 1), default=0.0, help="Share of receipts that say UNDELIV.")
+@click.option("--refuses", type=click.FloatRange(0, 1), default=0.0, help="Share answered with ESME_RSYSERR.")
+@click.option("--silent", type=click.FloatRange(0, 1), default=0.0, help="Share that gets no answer.")
+@click.option("--cuts", type=click.FloatRange(0, 1), default=0.0, help="Share upon which the connection is cut.")
+@click.option("--seed", type=int, default=1, show_default=True, help="For all shares.")
+@click.option("--for", "span", type=DURATION, help="End by itself after so long.")
+def gateway(listen: str, limit: int, window: int, latency: int, receipts: int | None, lost: float, undelivered: float,
+            refuses: float, silent: float, cuts: float, seed: int, span: int | None) -> None:
+    """An SMPP gateway that takes any account, and goes wrong as told. Says at its end what it took.
+
+    \b
+    Example:
+      kestrelspar standin gateway --limit 50 --receipts 2s --lost 0.05 --cuts 0.01
+    """
+    from kestrelspar.cli.smpp import listener
+    from kestrelspar.standins.gateway import Gateway, Manners
+
+    host, port = value(listen, address(""), "")
+    loop = Loop()
+    made = Gateway(loop, listener((host, port)), Manners(
+        limit, window, latency, -1 if receipts is None else receipts, lost, undelivered, refuses, silent, cuts), seed)
+    click.echo(f"gateway on {host}:{port}")
+    if span is not None:
+        loop.at(loop.now + span, loop.stop)
+    try:
+        loop.run()
+    except KeyboardInterrupt:
+        click.echo("ended")
+    answers = ", ".join(f"{count} {name}" for name, count in made.answers.most_common()) or "nothing"
+    click.echo(f"took {made.took.total()} ({len(made.took)} different); answered {answers}")
--- a/kestrelspar/keys.py
+++ b/kestrelspar/keys.py
@@ -41,13 +41,14 @@
 
 def read(told: schema.Tls) -> Pair:
     """Contexts from files; ``BadKeys`` says which one will not do, and why."""
-    if told.key:
+    key, file = ("key", told.key) if told.key else ("certificate", told.certificate)  # which may hold both
+    if file:
         try:
-            mode = stat.S_IMODE(os.stat(told.key).st_mode)
+            mode = stat.S_IMODE(os.stat(file).st_mode)
         except OSError as error:
-            raise BadKeys("key", f"{told.key} can't be read: {error.strerror}") from None
+            raise BadKeys(key, f"{file} can't be read: {error.strerror}") from None
         if mode & 0o077:
-            raise BadKeys("key", f"{told.key} may be read by others, mode {mode:03o} (wanted: 600 or less)")
+            raise BadKeys(key, f"{file} may be read by others, mode {mode:03o} (wanted: 600 or less)")
     ends = _expiry(told.certificate) if told.certificate else None
     client = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
     contexts = [client]
--- a/kestrelspar/smpp/pdu.py
+++ b/kestrelspar/smpp/pdu.py
@@ -133,7 +133,7 @@
          ("dest_addr_ton", 0), ("dest_addr_npi", 0), ("destination_addr", 65), ("esm_class", 0),
          ("registered_delivery", 0), ("data_coding", 0))
 _DESTS, _UNSUCCESS = -1, -2  # a submit_multi's destinations; those of its response that were not taken
-_FIELDS: dict[Command, tuple[tuple[str, int], ...]] = {
+FIELDS: dict[Command, tuple[tuple[str, int], ...]] = {
     Command.BIND_RECEIVER: _BIND, Command.BIND_TRANSMITTER: _BIND, Command.BIND_TRANSCEIVER: _BIND,
     Command.BIND_RECEIVER_RESP: _BIND_RESP, Command.BIND_TRANSMITTER_RESP: _BIND_RESP,
     Command.BIND_TRANSCEIVER_RESP: _BIND_RESP, Command.OUTBIND: _BIND[:2],
@@ -228,7 +228,7 @@
     """The PDU's bytes. ``ValueError`` where a field is too long."""
     parts = []
     bare = pdu.command & RESPONSE and pdu.status  # the body is not returned with an error
-    for name, most in () if bare else _FIELDS.get(pdu.command, ()):
+    for name, most in () if bare else FIELDS.get(pdu.command, ()):
         if most == _DESTS:
             if not 0 < len(pdu.dests) <= MOST_DESTS:
                 raise ValueError(f"{len(pdu.dests)} destinations")
@@ -296,7 +296,7 @@
         begin, at = at, end + 1
         return data[begin:end].decode("latin-1")
 
-    for name, most in _FIELDS.get(known, ()):
+    for name, most in FIELDS.get(known, ()):
         if most == _DESTS:
             for _ in range(integer(name)):
                 flag = integer("dest_flag")
--- a/tests/smpp/test_operations.py
+++ b/tests/smpp/test_operations.py
@@ -247,7 +247,7 @@
        st.integers(1, 254), st.integers(0, 0xFFFF))
 def test_every_pdu_comes_back_as_it_was(command: Command, number: int, word: str, message: bytes, many: int,
                                         tag: int) -> None:
-    fields = {name: word if most else number for name, most in p._FIELDS.get(command, ()) if most >= 0}
+    fields = {name: word if most else number for name, most in p.FIELDS.get(command, ()) if most >= 0}
     pdu = Pdu(command, 5, 0, fields, message if command in p._HAVE_SM else b"", [(tag, message)])
     if command is Command.SUBMIT_MULTI:
         pdu.dests = [Dest(word, 0 if n % 2 else number, 0 if n % 2 else 1, bool(n % 2)) for n in range(many)]
