--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -96,6 +96,7 @@
     closed: bool = False  # the message is over
     report: tuple[float, ...] = ()
     note: str = ""
+    waited: int = 0  # for its turn before the first byte: no part of the call
     later: tuple[str, dict[str, Any]] | None = None  # with OK: accepted only; who tells the outcome, and by what
 
 
@@ -293,7 +294,7 @@
             logs.event("attempt", trace=message.trace, n=which, hop=hop.name, outcome=result.outcome.name.lower(),
                        wait_ms=result.told_wait // MS or None, note=result.note or None,
                        after_ms=(self.loop.now - sent) // MS)
-        return result, self.loop.now - sent
+        return result, max(0, self.loop.now - sent - result.waited)
 
     # Outcomes that come later
 
--- a/kestrelspar/smpp/client.py
+++ b/kestrelspar/smpp/client.py
@@ -12,7 +12,7 @@
 from kestrelspar.core.transport_map import Leave
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, Late, Stream
-from kestrelspar.runtime.loop import LATE, MS, Loop, Parking
+from kestrelspar.runtime.loop import LATE, MS, SECOND, Loop, Parking
 from kestrelspar.settings.resolve import Gateway
 from kestrelspar.smpp import errors, parts, receipts
 from kestrelspar.smpp import pdu as p
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from kestrelspar.keys import Keys  # with ssl: only where it is wanted
 
+QUEUE_MOST = 2 * SECOND  # what waits longer for its turn is the module's again: it holds a slot
 MOST_EARLY = 1_000  # receipts of one gateway that wait for a response; more are to come again
 ASK_WITHIN = 400 * MS  # for each question about a message whose receipt has not come
 
@@ -149,17 +150,20 @@
     def _submit(self, message: Message, link: Link, request: Pdu, deadline: int,
                 leave: Callable[[], bool], doubt: Doubt) -> Result:
         """One submit_sm, from its place in the window to its outcome."""
-        lane = link.take(deadline)
+        begun, timeout = self.loop.now, max(0, deadline - self.loop.now)
+        # The time-out is the call's: what waits for its turn must not time out as soon as it has left.
+        lane = link.take(max(deadline, min(begun + QUEUE_MOST, message.deadline - timeout)))
+        waited, deadline = self.loop.now - begun, min(message.deadline, self.loop.now + timeout)
         if lane is None:
             wait = max(0, link.backoff.due - self.loop.now)
             return Result(Outcome.CONNECT_FAILED, wait, note="no session")
         if not isinstance(lane, Lane):
-            return Result(Outcome.MOOT, note="window full")
+            return Result(Outcome.MOOT, note="window full", waited=waited)
         try:
             # Others of its clump may have been throttled while it waited for the bind or for the window.
             if not leave():
-                return Result(Outcome.MOOT, note="barred meanwhile")
-            return self._ask(message, link, lane, request, deadline, doubt)
+                return Result(Outcome.MOOT, note="barred meanwhile", waited=waited)
+            return dataclasses.replace(self._ask(message, link, lane, request, deadline, doubt), waited=waited)
         finally:
             link.give(lane)
 
@@ -179,8 +183,13 @@
             lane.window.lost(self.loop.now)
             lane.session.retire()
             return Result(Outcome.TIMEOUT)
-        link.answered(lane, sent, answer)
-        return self._result(gateway, answer)
+        news = link.answered(lane, sent, answer)
+        result = self._result(gateway, answer)
+        if result.outcome is Outcome.FULL and not news:
+            # The pace keeps to the limit from now on, and the told wait holds for all: the module, which would take
+            # each of a clump's refusals for one more, has nothing to learn.
+            return Result(Outcome.MOOT, result.told_wait, note="throttled")
+        return result
 
     @staticmethod
     def _result(gateway: Gateway, answer: Pdu) -> Result:
--- a/kestrelspar/smpp/link.py
+++ b/kestrelspar/smpp/link.py
@@ -81,17 +81,21 @@
         if not lane.window.out:
             self._watch_idle()
 
-    def answered(self, lane: Lane, sent: int, answer: Pdu) -> None:
-        """Learn from the answer to a request that left at ``sent``."""
+    def answered(self, lane: Lane, sent: int, answer: Pdu) -> bool:
+        """Learn from the answer to a request that left at ``sent``; whether that is a refusal for the module.
+
+        A limit is the pace's to keep; a gateway that is shut, or has its queue full, is to be left alone.
+        """
         now, state = self.loop.now, answer.tlv(p.CONGESTION_STATE)
         congestion = state[0] if state and state[0] <= 100 else None
-        before = self.pace.refused
-        self.pace.answered(now, sent, answer.status == Status.ESME_RTHROTTLED, self.gateway.throttle_wait)
-        lane.window.answered(now, sent, answer.status == Status.ESME_RMSGQFUL, congestion)
+        news = self.pace.answered(now, sent, answer.status == Status.ESME_RTHROTTLED, self.gateway.throttle_wait)
+        news = lane.window.answered(now, sent, answer.status == Status.ESME_RMSGQFUL, congestion) or news
         if answer.status == Status.ESME_RMSGQFUL:
             self.pace.waits_until = max(self.pace.waits_until, now + self.gateway.throttle_wait)
-        if self.pace.refused > before:
-            logs.event("smpp-throttled", logs.DEBUG, peer=lane.session.name, rate=round(self.pace.rate, 1))
+        if news:
+            logs.event("smpp-throttled", logs.DEBUG, peer=lane.session.name, rate=round(self.pace.rate, 1),
+                       window=int(lane.window.size))
+        return news
 
     def _open(self) -> list[Lane]:
         return [lane for lane in self.lanes if lane.open and lane.session.state in SENDS]
--- a/kestrelspar/smpp/pace.py
+++ b/kestrelspar/smpp/pace.py
@@ -22,9 +22,9 @@
 SECOND = 1_000_000
 SPAN = SECOND  # limits are mostly told by the second: what was served within one is what a second holds
 CUT, SHRINK = 0.5, 0.8  # of a window: told to be full, or slow
-BACK = 0.9  # of the ceiling: where the rate goes on after a refusal
+BACK = 0.95  # of the ceiling: where the rate goes on after a refusal
 PLATEAU = 3 * SECOND  # until the rate is at the ceiling again; as long after that it has gone as far beyond it
-DOUBLES = 300_000  # while no ceiling was seen for long enough
+DOUBLES = 700_000  # while no ceiling was seen for long enough
 LEAST_RATE = 0.5  # submits a second: less would not notice that a limit is gone
 CONGESTED, HELD = 90, 80  # congestion_state: 80 to 89 is optimum load, above is too much (SMPP 5.0, 4.8.4.18)
 SLOW, SLOW_BY = 4.0, 200_000  # answers that take so many times the quickest, and so much longer, tell of a queue
@@ -51,14 +51,17 @@
     def _shrink(self, now: int, by: float) -> None:
         self.size, self.cut_at = max(1.0, self.size * by), now
 
-    def answered(self, now: int, sent: int, full: bool, congestion: int | None) -> None:
-        """An answer to a submit that left at ``sent``; ``congestion``: the congestion_state it told, 0 to 100."""
+    def answered(self, now: int, sent: int, full: bool, congestion: int | None) -> bool:
+        """An answer to a submit that left at ``sent``; ``congestion``: the congestion_state it told, 0 to 100.
+
+        Whether it told that the queue is full, and that is news.
+        """
         took = float(now - sent)
         fresh = sent > self.cut_at
         if full:
             if fresh:
                 self._shrink(now, CUT)
-            return
+            return fresh
         slow = self.quickest > 0 and took > max(SLOW * self.quickest, self.quickest + SLOW_BY)
         self.quickest = took if not self.quickest or took < self.quickest else \
             self.quickest + FORGET * (took - self.quickest)
@@ -67,6 +70,7 @@
                 self._shrink(now, SHRINK)
         elif congestion is None or congestion < HELD:
             self.size = min(float(self.most), self.size + 1.0 / self.size)
+        return False
 
     def lost(self, now: int) -> None:
         """No answer came in time, or the session broke."""
@@ -91,6 +95,7 @@
         self._from = 0  # when the way back to the ceiling began
         self._base = 0.0  # and at which rate
         self._again = 0  # refusals in a row with nothing served in between
+        self._refusing = 0  # since when
         self._served: deque[int] = deque()  # when what was served within a span had left
 
     def next(self, now: int) -> int:
@@ -116,8 +121,12 @@
         if self.most:
             self.rate = min(self.rate, self.most)
 
-    def answered(self, now: int, sent: int, throttled: bool, wait: int = 0) -> None:
-        """An answer to a submit that left at ``sent``; where it was throttled, ``wait`` is what that stands for."""
+    def answered(self, now: int, sent: int, throttled: bool, wait: int = 0) -> bool:
+        """An answer to a submit that left at ``sent``; where it was throttled, ``wait`` is what that stands for.
+
+        Whether it was throttled and is shut rather than limited: refused for more than a span, with nothing served
+        in between.
+        """
         while self._served and self._served[0] <= now - SPAN:
             self._served.popleft()
         if not throttled:
@@ -126,23 +135,33 @@
             self._served.append(sent)
             if sent > self._cut_at:
                 self._again = 0
-            return
+            return False
         self.refused += 1
         self.waits_until = max(self.waits_until, now + wait)
         if sent <= self._cut_at:  # it left before the last lesson, and tells the same
-            return
+            return False
         # Nothing served since: it is the same limit, still shut. The rate was not tried, only the wait was too short.
-        wait = max(wait, min(SPAN, wait << self._again))
+        wait = max(wait, min(SPAN // 4, wait << self._again))
         self.waits_until = max(self.waits_until, now + wait)
         self._due = max(self._due, float(now + wait))
         if not self._again:
-            served = max(LEAST_RATE, float(len(self._served)))
+            self._refusing = now
             self._guess = not self.ceiling and now - self._begun < SPAN // 2
-            # A burst may let more through than the rate that was kept; and less than a span's worth tells too little.
-            self.ceiling = served if not self.rate or self._guess else min(self.rate, max(served, SHRINK * self.rate))
+            self.ceiling = max(LEAST_RATE, self._seen(now))
             self._base = max(LEAST_RATE, BACK * self.ceiling)
         self.rate, self._from, self._cut_at = self._base, now + wait, now
         self._again += 1
+        return now - self._refusing >= SPAN
+
+    def _seen(self, now: int) -> float:
+        """Submits a second that it was seen to take while it was asked for more."""
+        if not self.rate or self._guess:
+            return float(len(self._served))
+        open_for = now - max(self._begun, self._from, now - SPAN)  # of the last span: not idle, and not waiting
+        if open_for < SPAN // 5:  # too little to tell: below the rate that was kept
+            return SHRINK * self.rate
+        since = sum(sent > now - open_for for sent in self._served)
+        return min(self.rate, since * SECOND / open_for)
 
 
 class Backoff:
--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -67,6 +67,7 @@
         self.account: Account | None = None
         self.handing = 0  # submit_sm without an answer yet
         self.refused = 0  # binds
+        self.unheard = 0  # receipts in a row that it did not acknowledge
         self.since = session.loop.now
         self.host = session.name.partition(":")[0]
 
@@ -602,9 +603,10 @@
         account = message.extra["account"]
         give_up, wait = self.loop.now + self.told.receipt_hold, WAIT_FIRST
         while self.loop.now < give_up:
-            guest = next((g for g in self._guests if g.session.state in RECEIVES and g.account is not None
-                          and g.account.system_id == account and not g.session.closed
-                          and g.session.outstanding < g.account.window), None)
+            able = [g for g in self._guests if g.session.state in RECEIVES and g.account is not None
+                    and g.account.system_id == account and not (g.session.closed or g.session.retired)
+                    and g.session.outstanding < g.account.window]
+            guest = min(able, key=lambda g: g.unheard, default=None)  # one that is silent must not keep all receipts
             if guest is None:
                 for known in self.told.accounts:
                     if known.system_id == account and not self._receiver(known)[1]:
@@ -617,11 +619,13 @@
             try:
                 receipt = self._receipt(message, end, late)
                 answer = guest.session.ask(receipt, self.loop.now + self.told.response)
+                guest.unheard = 0
                 if answer.status == 0:
                     return
                 logs.event("smpp-receipt-refused", trace=message.trace, peer=guest.session.name,
                            status=f"{answer.status:#x}")
             except (NotSent, Lost, Late):
+                guest.unheard += 1
                 logs.event("smpp-receipt-unheard", trace=message.trace, peer=guest.session.name)
             self.loop.sleep(wait)
             wait = min(WAIT_MOST, 2 * wait)
--- a/kestrelspar/smpp/session.py
+++ b/kestrelspar/smpp/session.py
@@ -35,6 +35,7 @@
         self._handed_over = False  # the connection is another session's now
         self._pending: dict[int, Parking] = {}
         self._given_up: dict[int, Callable[[Pdu | None], None]] = {}  # who wants to know of a late answer
+        self._unbound: Pdu | None = None  # the other side's unbind, not answered yet
         self.retired = False  # takes no new requests, and ends when none is out
         self._writing = False
         self._turns: list[Parking] = []  # of those who want to write
@@ -82,8 +83,10 @@
         elif pdu.command is Command.ENQUIRE_LINK:
             self.post(pdu.reply())
         elif pdu.command is Command.UNBIND:
-            self.post(pdu.reply())
-            self.close()
+            self._unbound = pdu
+            self.retire()
+            if not self.closed:  # its answers to what is out may still come: else they would count as lost
+                self.loop.at(self.loop.now + self._answer_within, lambda: self.loop.spawn(self._let_go))
         else:
             handle(pdu)
 
@@ -152,7 +155,14 @@
         """No new requests; the session ends when the last answer is here or given up."""
         self.retired = True
         if not self.outstanding:
-            self.close()
+            self._let_go()
+
+    def _let_go(self) -> None:
+        """End the session; who asked us to unbind gets the answer first."""
+        if self._unbound is not None and not self.closed:
+            asked, self._unbound = self._unbound, None
+            self.post(asked.reply())
+        self.close()
 
     def _write(self, data: bytes, deadline: int) -> None:
         """Write whole PDUs one after the other, whoever asks; one cut short ends the session."""
