One place for what a message keeps of its PDU, and for verbs that run a loop for a while

Need: the SMPP server and the gateways' own messages each had the same bounds and list of text fields, and three verbs the same lines to run a loop for so long or until interrupted. Change: pdu.kept, pdu.MOST_BODY, pdu.MOST_TLVS; cli/units.run_for. Nothing behaves otherwise.

--- a/kestrelspar/cli/smpp.py
+++ b/kestrelspar/cli/smpp.py
@@ -14,7 +14,7 @@
 from rich.table import Table
 
 from kestrelspar.cli.main import BadConfiguration, Fault
-from kestrelspar.cli.units import DURATION
+from kestrelspar.cli.units import DURATION, run_for
 from kestrelspar.runtime.buffers import BufferPool, Closed, Late
 from kestrelspar.runtime.loop import SECOND, Loop
 from kestrelspar.settings import kinds
@@ -270,12 +270,7 @@
     loop = Loop()
     Gateway(loop, listener(address), Manners(receipts=SECOND), told=lambda what, pdu: _show(pdu))
     click.echo(f"message centre on {address[0]}:{address[1]}")
-    if span is not None:
-        loop.at(loop.now + span, loop.stop)
-    try:
-        loop.run()
-    except KeyboardInterrupt:
-        click.echo("ended")
+    run_for(loop, span)
 
 
 def listener(address: tuple[str, int]) -> socket.socket:
--- a/kestrelspar/cli/standin.py
+++ b/kestrelspar/cli/standin.py
@@ -8,7 +8,7 @@
 import click
 
 from kestrelspar.cli.main import Fault
-from kestrelspar.cli.units import DURATION
+from kestrelspar.cli.units import DURATION, run_for
 from kestrelspar.core import entries
 from kestrelspar.runtime.loop import MS, SECOND, Loop
 from kestrelspar.settings.kinds import address, value
@@ -77,12 +77,7 @@
     loop.spawn(lapse)
     if churn and rows:
         loop.spawn(change)
-    if span is not None:
-        loop.at(loop.now + span, loop.stop)
-    try:
-        loop.run()
-    except KeyboardInterrupt:
-        click.echo("ended")
+    run_for(loop, span)
 
 
 @verb.command()
@@ -114,11 +109,6 @@
     made = Gateway(loop, listener((host, port)), Manners(
         limit, window, latency, -1 if receipts is None else receipts, lost, undelivered, refuses, silent, cuts), seed)
     click.echo(f"gateway on {host}:{port}")
-    if span is not None:
-        loop.at(loop.now + span, loop.stop)
-    try:
-        loop.run()
-    except KeyboardInterrupt:
-        click.echo("ended")
+    run_for(loop, span)
     answers = ", ".join(f"{count} {name}" for name, count in made.answers.most_common()) or "nothing"
     click.echo(f"took {made.took.total()} ({len(made.took)} different); answered {answers}")
--- a/kestrelspar/cli/units.py
+++ b/kestrelspar/cli/units.py
@@ -1,9 +1,10 @@
-"""Times on the command line, as in the settings file: 500ms, 30s."""
+"""What verbs share: times as in the settings file (500ms, 30s), and a loop that runs until told to end."""
 
 from __future__ import annotations
 
 import click
 
+from kestrelspar.runtime.loop import Loop
 from kestrelspar.settings import kinds
 
 
@@ -24,3 +25,13 @@
 
 
 DURATION = Duration()
+
+
+def run_for(loop: Loop, span: int | None) -> None:
+    """Run a loop for so long, or until interrupted."""
+    if span is not None:
+        loop.at(loop.now + span, loop.stop)
+    try:
+        loop.run()
+    except KeyboardInterrupt:
+        click.echo("ended")
--- a/kestrelspar/smpp/inbound.py
+++ b/kestrelspar/smpp/inbound.py
@@ -12,10 +12,6 @@
 from kestrelspar.smpp import pdu as p
 from kestrelspar.smpp.pdu import Pdu, Status
 
-MOST_BODY = 64 * 1024
-MOST_TLVS = 8 * 1024
-_TEXTS = {"service_type", "source_addr", "destination_addr", "schedule_delivery_time", "validity_period"}
-
 # What a gateway is answered whose message is not taken on: it may come again, or had better not.
 DEFERRED, REJECTED = Status.ESME_RX_T_APPN, Status.ESME_RX_R_APPN
 
@@ -39,17 +35,17 @@
         if prefix is None:
             self._refuse(gateway, pdu, answer, Status.ESME_RINVDSTADR)
             return
-        if len(body) > MOST_BODY or payload is not None and pdu.message:
+        if len(body) > p.MOST_BODY or payload is not None and pdu.message:
             self._refuse(gateway, pdu, answer, Status.ESME_RINVMSGLEN)
             return
-        if sum(len(value) for _, value in tlvs) > 2 * MOST_TLVS:
+        if sum(len(value) for _, value in tlvs) > 2 * p.MOST_TLVS:
             self._refuse(gateway, pdu, answer, Status.ESME_ROPTPARNOTALLWD)
             return
         trace = os.urandom(8).hex()
         settings = self._courier.settings
         deadline = self._courier.loop.now + settings.classes[gateway.inbound_class].deadline_ns // 1000
         extra = {
-            "smpp": {name: pdu.fields.get(name, "" if name in _TEXTS else 0) for name in p.SM_FIELDS}, "tlvs": tlvs,
+            "smpp": p.kept(pdu), "tlvs": tlvs,
             "gate": gateway.name, "payload": payload is not None, "submitted": int(time.time()),
         }
         message = Message(trace, gateway.inbound_class, gateway.inbound_tenant, gateway.inbound[prefix], deadline,
--- a/kestrelspar/smpp/pdu.py
+++ b/kestrelspar/smpp/pdu.py
@@ -153,6 +153,8 @@
 _HAVE_SM = frozenset({Command.SUBMIT_SM, Command.DELIVER_SM, Command.SUBMIT_MULTI, Command.REPLACE_SM})
 SM_FIELDS = tuple(name for name, _ in _SM)
 DATA_FIELDS = tuple(name for name, _ in _DATA)
+_SM_TEXTS = frozenset(name for name, most in _SM if most)
+MOST_BODY, MOST_TLVS = 64 * 1024, 8 * 1024  # bytes of a message, and of its optional parameters, that are taken on
 
 
 class BadLength(Exception):
@@ -217,6 +219,11 @@
         return Pdu(Command(self.command | RESPONSE), self.sequence, status, fields)
 
 
+def kept(pdu: Pdu) -> dict[str, Any]:
+    """What a message keeps of the PDU that it came in: the fields of a submit_sm, for whoever passes it on."""
+    return {name: pdu.fields.get(name, "" if name in _SM_TEXTS else 0) for name in SM_FIELDS}
+
+
 def _c_octet(name: str, value: str, most: int) -> bytes:
     text = value.encode("latin-1")
     if len(text) >= most or b"\0" in text:
--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -31,9 +31,6 @@
 from kestrelspar.smpp.session import Lost, NotSent, Session
 from kestrelspar.smpp.table import BINDS, Bound, Side
 
-MOST_BODY = 64 * 1024
-_TEXTS = {"service_type", "source_addr", "destination_addr", "schedule_delivery_time", "validity_period"}
-MOST_TLVS = 8 * 1024
 SPARED = 50 * MS  # a connection that new may just be about to bind
 DIAL_AGAIN = 5 * SECOND  # an account that does not come is asked to bind no more often
 MOST_REFUSED = 3  # binds on one connection
@@ -437,7 +434,7 @@
         settings = self.courier.settings
         payload = pdu.tlv(p.MESSAGE_PAYLOAD)
         body = pdu.message if payload is None else payload
-        if payload is not None and pdu.message or len(body) > MOST_BODY:
+        if payload is not None and pdu.message or len(body) > p.MOST_BODY:
             raise _Refused(Status.ESME_RINVMSGLEN)
         tlvs = [(tag, value.hex()) for tag, value in pdu.tlvs if tag != p.MESSAGE_PAYLOAD]
         part = None
@@ -447,7 +444,7 @@
             except parts.BadPart as error:
                 raise _Refused(error.status) from None
             tlvs = [(tag, value) for tag, value in tlvs if part is None or tag not in parts.SAR]
-        if sum(len(value) for _, value in tlvs) > 2 * MOST_TLVS:
+        if sum(len(value) for _, value in tlvs) > 2 * p.MOST_TLVS:
             raise _Refused(Status.ESME_ROPTPARNOTALLWD)
         start = self._scheduled(pdu.text("schedule_delivery_time"))
         service = pdu.text("service_type")
@@ -467,7 +464,7 @@
             raise _Refused(Status.ESME_RINVDSTADR)
         trace = trace or os.urandom(8).hex()
         extra = {
-            "smpp": {name: pdu.fields.get(name, "" if name in _TEXTS else 0) for name in p.SM_FIELDS}, "tlvs": tlvs,
+            "smpp": p.kept(pdu), "tlvs": tlvs,
             "account": account.system_id, "payload": payload is not None, "submitted": int(time.time()),
             **({"shown": shown} if shown else {}),
             **({"part": dataclasses.asdict(part)} if part is not None else {}),
