SIGHUP: keys are taken last, and a section tls that went stays for its listener

Need, found on reading the diff once more: a SIGHUP that failed on its registries had already swapped the keys, though what will not do must change nothing; and one without a section `tls` that the SMPP listener was started with made each new connection a fault.

--- a/kestrelspar/keys.py
+++ b/kestrelspar/keys.py
@@ -114,7 +114,7 @@
                 faults.append(told.fault(key, f"tls {name} has no certificate, which a listener needs"))
         if faults:
             raise ConfFaults(sorted(faults))
-        self._pairs = pairs
+        self._pairs |= pairs  # one that is gone may still be named by what is read at the start only
 
     def again(self, conf: Conf) -> None:
         """Read the files once more; ``ConfFaults`` leaves what there is."""
--- a/kestrelspar/serve.py
+++ b/kestrelspar/serve.py
@@ -158,14 +158,14 @@
         fresh = platform.read(environment, again=True)
         conf = conf_file.load(conf_file.where(environment), environment)
         followed = resolve.registries(conf)
-        if told.keys is not None:
-            told.keys.again(conf)
-            followed = told.keys.secured(followed)
-        elif resolve.keys(conf) is not None:
+        if told.keys is None and resolve.keys(conf) is not None:
             raise ValueError("tls: the first keys need a restart")
         if sum(keep.reserve(r.told.keep) for r in followed) > told.reserved:
             raise ValueError("registry.keep: kept lists may take no more disk than at the start "
                              "(restart, or set keep 0B)")
+        if told.keys is not None:  # last: what will not do must have changed nothing
+            told.keys.again(conf)
+            followed = told.keys.secured(followed)
     except ValueError as error:
         faults = error.faults if isinstance(error, ConfFaults) else [error]
         for fault in faults:
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -134,6 +134,8 @@
         found.again(conf(tmp_path))
     files(tmp_path)
     found.again(conf(tmp_path))
+    (tmp_path / "conf").write_text("log\n    level info\n")
+    found.again(conf_file.load(str(tmp_path / "conf")))  # the listener goes on with what it was started with
     assert calls(stage, client()) is not None and old.stream.sock.fileno() >= 0
 
 
