--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -293,6 +293,7 @@
         if result.outcome is not Outcome.OK or logs.shows(logs.DEBUG):
             logs.event("attempt", trace=message.trace, n=which, hop=hop.name, outcome=result.outcome.name.lower(),
                        wait_ms=result.told_wait // MS or None, note=result.note or None,
+                       dest=message.dest, report=",".join(f"{x:g}" for x in result.report) or None,
                        after_ms=(self.loop.now - sent) // MS)
         return result, max(0, self.loop.now - sent - result.waited)
 
--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -47,6 +47,7 @@
 BURST = 500 * MS  # calls of this long at the limit's pace may go at once
 GAP_GROW, GAP_EASE = 2.0, 0.9  # this forwarder's gap between calls, after a refusal and after an answer
 GAP_MOST, GAP_LEAST = 2.0, SECOND // 2  # the longest gap, in even shares of the rate; it may always be this
+FEW = 4  # forwarders: so few hear of a limit often enough to find their gaps in steps
 GAP_FADES = 10 * SECOND  # without news the gap halves in this time, or in twice the gap
 TENANT_BURST = 2 * SECOND  # a tenant's share may be used this far ahead
 HOLD_PART = 0.9  # hold at most this part of max_open; the rest is room for new messages
@@ -74,11 +75,13 @@
         self.sends: list[int] = []  # within the last fall_ns
         self.served: list[int] = []  # answers within the last fall_ns
 
-    def learn(self, now: int, refused: bool, even: float = NEVER, crowd: float = 0.0) -> None:
+    def learn(self, now: int, refused: bool, even: float = NEVER, crowd: float = 0.0,
+              many: float = 0.0) -> None:
         """Refusals stretch the gap, answers ease it, and time forgets it."""
         fade = 0.5 ** ((now - self.heard) / max(GAP_FADES, 2 * self.gap))
         self.gap *= fade * (GAP_GROW if refused else GAP_EASE)
-        least = max(SECOND / self.rate if self.rate else 0.0, crowd * even)
+        # Many that each call seldom would all be refused over and over before steps from nothing tell.
+        least = max(SECOND / self.rate if self.rate else 0.0, max(many if refused else 0.0, crowd) * even)
         self.gap = min(max(GAP_LEAST, GAP_MOST * even), max(self.gap, least))
         self.heard = now
 
@@ -749,7 +752,7 @@
         if not limit.fulls:
             crowd[1] += FAILING_GAIN * (refused - crowd[1])
         if refused:
-            limit.learn(self.now, True, even, crowd[0])
+            limit.learn(self.now, True, even, crowd[0], max(0.0, 1 - FEW / self.s.forwarders))
             limit.fulls += 1
             if limit.fulls == 1:
                 limit.full_since = self.now
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,125 @@
+"""Harm done together: forty of the modules let loose on one modelled destination, on a stepped clock.
+
+Couriers share nothing, so each test asserts on the sum of what they sent.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Callable
+
+from snowlock import Controller
+from snowlock.interface import (
+    Arrival,
+    AttemptEnded,
+    Endpoint,
+    EndpointList,
+    Fail,
+    ListKind,
+    MessageClass,
+    Outcome,
+    RateHint,
+    Refuse,
+    Safety,
+    Send,
+    SetTimer,
+    Settings,
+    TimerFired,
+)
+
+MS = 1_000_000
+SECOND = 1_000 * MS
+FORTY = 40
+CALL = 40 * MS
+
+
+def settings(**more: object) -> Settings:
+    values: dict[str, object] = {
+        "classes": (MessageClass(4 * SECOND, 12 * SECOND, Safety.SAFE, late_worth=0.4),), "slots": 6,
+        "routes_apart": (True,), "tick_ns": 5 * MS, "max_open": 64, "max_attempts": 8, "forwarders": FORTY,
+        "rate_hint": RateHint.NONE, "share_left_column": 0, "limit_column": 1, "fall_ns": 1_500 * MS,
+        "max_retry_after_ns": 2 * SECOND,
+    }
+    return Settings(**(values | more))  # type: ignore[arg-type]
+
+
+class Limit:
+    """So many calls in any span; refused calls use it up too, and the answer tells what is left."""
+
+    def __init__(self, rate: float, span: int = SECOND) -> None:
+        self.rate, self.span = rate, span
+        self.calls: deque[int] = deque()
+
+    def call(self, now: int) -> tuple[Outcome, tuple[float, ...]]:
+        while self.calls and self.calls[0] <= now - self.span:
+            self.calls.popleft()
+        self.calls.append(now)
+        most = self.rate * self.span / SECOND
+        left = max(0.0, 1 - len(self.calls) / most)
+        return (Outcome.OK if len(self.calls) <= most else Outcome.FULL), (left, self.rate)
+
+
+class Fleet:
+    """Forty modules, one endpoint, and what became of the calls."""
+
+    def __init__(self, call: Callable[[int], tuple[Outcome, tuple[float, ...]]], given: Settings) -> None:
+        self.now, self.call = 1_000 * SECOND, call
+        self.modules = [Controller(given, seed) for seed in range(FORTY)]
+        self.due: list[tuple[int, int, int, object]] = []
+        self.order = 0
+        self.calls: list[tuple[int, int, Outcome]] = []  # when, by whom, how it ended
+        self.attempts: dict[tuple[int, int], int] = {}
+        self.ended: dict[int, object] = {}
+        for which in range(FORTY):
+            self.put(which, EndpointList(ListKind.FULL, (Endpoint(b"a", 1),)))
+
+    def later(self, at: int, which: int, event: object) -> None:
+        self.order += 1
+        heapq.heappush(self.due, (at, self.order, which, event))
+
+    def put(self, which: int, event: object) -> None:
+        for action in self.modules[which].handle(self.now, [event]):  # type: ignore[list-item]
+            if isinstance(action, Send):
+                number = self.attempts.get((which, action.message), 0)
+                self.attempts[which, action.message] = number + 1
+                outcome, report = self.call(self.now)
+                self.calls.append((self.now, which, outcome))
+                self.later(self.now + CALL, which, AttemptEnded(
+                    action.message, number, b"a", outcome, CALL, outcome is Outcome.OK, report=report))
+            elif isinstance(action, SetTimer):
+                self.later(max(action.at_ns, self.now + MS), which, TimerFired(action.token))
+            elif isinstance(action, (Refuse, Fail)):
+                self.ended[action.message] = action
+
+    def run(self, span: int, rate: float, seed: int = 1) -> None:
+        """So much time with so many messages a second, dealt to the couriers at random."""
+        dice, end = random.Random(seed), self.now + span
+        at, number = float(self.now), len(self.attempts) + 1_000_000 * seed
+        while (at := at + dice.expovariate(rate) * SECOND) < end:
+            number += 1
+            self.later(int(at), dice.randrange(FORTY), Arrival(number, 0, 1, 12 * SECOND))
+        while self.due and self.due[0][0] <= end:
+            self.now, _, which, event = heapq.heappop(self.due)
+            self.put(which, event)
+        self.now = end
+
+    def count(self, outcome: Outcome, since: int) -> int:
+        return sum(o is outcome for at, _, o in self.calls if at >= since)
+
+
+def served_and_refused(rate: float, load: float) -> tuple[float, float]:
+    """Calls a second, once the couriers have had some seconds to learn."""
+    fleet = Fleet(Limit(rate).call, settings())
+    fleet.run(5 * SECOND, load * rate)
+    since = fleet.now
+    fleet.run(20 * SECOND, load * rate, seed=2)
+    return fleet.count(Outcome.OK, since) / 20, fleet.count(Outcome.FULL, since) / 20
+
+
+def test_forty_couriers_leave_a_limit_usable_that_refused_calls_use_up_too() -> None:
+    """Each hears of a refusal seldom; learnt in small steps, nearly all that the limit takes would be refused."""
+    for rate, load in ((5.0, 1.0), (13.0, 1.2)):
+        served, refused = served_and_refused(rate, load)
+        assert served > 0.45 * rate and refused < served
