--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import time
 import traceback
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -173,7 +174,7 @@
         self.stale: dict[str, int] = {}  # sources whose list is too old to serve on, and when to come back
         self.ready = False
         self.closing: int | None = None  # since when
-        self._controller = Controller(settings, seed)
+        self._controller = Controller(settings, seed, time.time_ns() - time.monotonic_ns())
         self._events: list[api.Event] = []
         self._desks: dict[int, Parking] = {}  # messages whose task waits for the module's next word
         self.open: dict[int, Message] = {}
--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -7,6 +7,7 @@
 
 import math
 import random
+import zlib
 from bisect import bisect_right
 from collections import deque
 from collections.abc import Iterable
@@ -45,9 +46,12 @@
 RATE_UNKNOWN = 1.0  # a call a second, for want of any evidence: small routes are pushed over first
 ROUGH_RATE = 0.67  # a rough rate may be half too high
 BURST = 500 * MS  # calls of this long at the limit's pace may go at once
-GAP_GROW, GAP_EASE = 2.0, 0.9  # this forwarder's gap between calls, after a refusal and after an answer
+GAP_GROW, GAP_EASE = 2.0, 0.1  # this forwarder's gap between calls, after a refusal and after an answer
 GAP_MOST, GAP_LEAST = 2.0, SECOND // 2  # the longest gap, in even shares of the rate; it may always be this
 FEW = 4  # forwarders: so few hear of a limit often enough to find their gaps in steps
+SCARCE = 0.5  # share of the allowance that is left, below which an answer stretches the gap
+TURNS = 0.25  # of an even share: from this gap on many forwarders take turns
+NEAR, RATE_GAIN = 0.3, 0.3  # a report this near the last one is noise around it, and weighs so much
 GAP_FADES = 10 * SECOND  # without news the gap halves in this time, or in twice the gap
 TENANT_BURST = 2 * SECOND  # a tenant's share may be used this far ahead
 HOLD_PART = 0.9  # hold at most this part of max_open; the rest is room for new messages
@@ -64,24 +68,27 @@
 class Limit:
     """This forwarder's pace under a limit; one for a route apart, else for the destination."""
 
-    __slots__ = ("rate", "gap", "spread", "due", "heard", "fulls", "full_since", "sends", "served")
+    __slots__ = ("rate", "gap", "spread", "due", "heard", "last", "fulls", "full_since", "sends", "served")
 
     def __init__(self) -> None:
         self.rate = 0.0  # reported, in calls a second from all forwarders; 0: none known
         self.gap = 0.0  # between calls; learnt from refusals and answers, as the others' traffic is not seen
         self.spread = 1.0  # of the next gap on the way back
-        self.due = self.heard = 0  # when the calls sent so far are paid off; last news
+        self.due = self.heard = self.last = 0  # when the calls so far are paid off; last news; last call
         self.fulls = self.full_since = 0  # refusals since it last served
         self.sends: list[int] = []  # within the last fall_ns
         self.served: list[int] = []  # answers within the last fall_ns
 
-    def learn(self, now: int, refused: bool, even: float = NEVER, crowd: float = 0.0,
-              many: float = 0.0) -> None:
-        """Refusals stretch the gap, answers ease it, and time forgets it."""
+    def learn(self, now: int, refused: bool, even: float = NEVER, crowd: float = 0.0, many: float = 0.0,
+              left: float = 1.0) -> None:
+        """Refusals stretch the gap, answers ease it by what they say is left, and time forgets it.
+
+        Many that each call seldom would all be refused over and over before steps from nothing tell them.
+        """
         fade = 0.5 ** ((now - self.heard) / max(GAP_FADES, 2 * self.gap))
-        self.gap *= fade * (GAP_GROW if refused else GAP_EASE)
-        # Many that each call seldom would all be refused over and over before steps from nothing tell.
-        least = max(SECOND / self.rate if self.rate else 0.0, max(many if refused else 0.0, crowd) * even)
+        self.gap *= fade * (GAP_GROW if refused else 1 - GAP_EASE * (1 - many * (1 - min(1.0, left))))
+        scarce = 1.0 if refused else max(0.0, 1 - left / SCARCE)
+        least = max(SECOND / self.rate if self.rate else 0.0, max(many * scarce, crowd) * even)
         self.gap = min(max(GAP_LEAST, GAP_MOST * even), max(self.gap, least))
         self.heard = now
 
@@ -115,7 +122,7 @@
 class Route:
     """One endpoint. Many may be listed that are never sent to, so it must be small."""
 
-    __slots__ = ("id", "dest", "zone", "draw", "rate", "ready", "rank", "patience", "fails", "limit",
+    __slots__ = ("id", "dest", "zone", "draw", "place", "rate", "ready", "rank", "patience", "fails", "limit",
                  "inflight", "wait_until", "bad", "oks", "last_send", "sent_before", "last_ok", "since",
                  "heard", "idle_since", "mean", "dev", "loss", "down", "timed_out", "failed", "back")
 
@@ -135,6 +142,7 @@
         self.down = self.timed_out = False  # the latter: its last failure held a slot for long
         self.failed: dict[int, tuple[int, bool]] = {}  # class not served since: when, others served between
         self.back: int | None = None
+        self.place = zlib.crc32(entry.id) / 2**32  # of turns, the same at all forwarders
 
 
 class Destination:
@@ -158,21 +166,21 @@
 class Controller:
     """The decisions of one forwarder."""
 
-    def __init__(self, settings: api.Settings, seed: int):
+    def __init__(self, settings: api.Settings, seed: int, ahead: int = 0):
         self.s = settings
+        self.ahead = ahead  # of our clock, the one that all forwarders read
+        self.many = max(0.0, 1 - FEW / settings.forwarders)
         self.random = random.Random(seed)
-        self.now = 0
+        self.now = self.sweep_at = 0  # the latter: when gone routes are next forgotten, where many are listed
         self.messages: dict[int, Message] = {}
         self.routes: dict[api.EndpointId, Route] = {}
-        self.sweep_at = 0  # when gone routes are next forgotten, where many are listed
         self.dests: dict[int, Destination] = {}
         self.lines: dict[int, deque[Message]] = {}  # ordered keys: messages not finished, in order
         self.key_rest: dict[int, int] = {}
         self.waiting: dict[int, Destination] = {}
         self.inflight = self.patient = 0  # calls out, and those of unsafe messages
         self.tenant_due: dict[int, int] = {}  # when a tenant's share has paid for its messages so far
-        self.logs = 0
-        self.log_pace = 0.0
+        self.logs, self.log_pace = 0, 0.0
         self.first_pace = UNKNOWN_PACE * min(cls.aim_ns for cls in settings.classes)
         self.capped: dict[int, float] = {}  # by kind of destination: share of calls that got no connection
         # By kind of destination: share of calls refused as full, and of those after a served one only.
@@ -217,25 +225,21 @@
         if self.inflight >= self.s.slots:  # nothing can go: whatever waits is looked at when a slot is free
             for dest in ready:
                 self.waiting[dest.id], dest.wake = dest, self.now
-            return self.actions
-        for dest in sorted(ready, key=self._slot_time) if len(ready) > 1 else ready:
-            self._pump(dest)  # slots go where they bring most
+        else:
+            for dest in sorted(ready, key=self._slot_time) if len(ready) > 1 else ready:
+                self._pump(dest)  # slots go where they bring most
         return self.actions
 
     def _slot_time(self, dest: Destination) -> float:
         """The time for which a call holds a slot, by the worth that it brings."""
-        if not dest.queue:
-            return 0.0
         usual = max(dest.mean or self._pace(), 1.0)
         return usual / max(0.01, max(self._worth(message, self.now) for message in dest.queue))
 
     def _worth(self, message: Message, at: int) -> float:
         """What the message brings if it is delivered then."""
-        if at <= message.full_until:
-            return message.weight
         cls = message.cls
         age = at - message.deadline + cls.deadline_ns
-        if cls.deadline_ns == cls.aim_ns:
+        if at <= message.full_until or cls.deadline_ns == cls.aim_ns:
             return message.weight
         if self.s.decay is api.Decay.HALVES:
             return message.weight * max(cls.late_worth, math.exp2(1 - age / cls.aim_ns))
@@ -279,8 +283,7 @@
                     self._drop(known)
                 continue
             dest = self.dests.setdefault(entry.destination, Destination(entry.destination))
-            kinds = self.s.routes_apart
-            dest.kind = entry.kind
+            dest.kind, kinds = entry.kind, self.s.routes_apart
             dest.apart = kinds[entry.kind] if entry.kind < len(kinds) else False
             if known is None or known.dest is not dest:
                 if known is not None:
@@ -307,8 +310,7 @@
     def _drop(self, route: Route) -> None:
         """Nothing new goes to a route that is draining or gone."""
         route.ready = False
-        if route in route.dest.routes:
-            route.dest.routes.remove(route)
+        route.dest.routes = [other for other in route.dest.routes if other is not route]
 
     def _order(self, route: Route) -> tuple[int, float, float]:
         """The fixed order: the cheaper first, and among routes that cost the same one drawn by their rates.
@@ -352,8 +354,7 @@
     def _timer(self, token: int) -> Destination | None:
         """A destination's wake-up, or the last moment to answer a waiting message."""
         if token & 1:
-            dest = self.dests.get(token >> 1)
-            if dest is not None and dest.wake <= self.now:
+            if (dest := self.dests.get(token >> 1)) is not None and dest.wake <= self.now:
                 dest.wake = NEVER
             return dest
         message = self.messages.get(token >> 1)
@@ -396,12 +397,11 @@
         self.messages.pop(message.id, None)
         if not (message.cls.ordered and message.key):
             return
-        line = self.lines[message.key]
-        line.remove(message)
-        if not line:
-            del self.lines[message.key]
-        else:
+        (line := self.lines[message.key]).remove(message)
+        if line:
             self._wake(line[0].dest, max(self.now, self.key_rest.get(message.key, 0)))
+        else:
+            del self.lines[message.key]
 
     def _may_go(self, message: Message, route: Route) -> bool:
         """May this message go to this route as far as the message itself is concerned?"""
@@ -410,9 +410,8 @@
             return False
         bound = cls.safety is Safety.KEYED and cls.zone_bound and route.zone != message.zone
         unsafe = cls.safety is Safety.UNSAFE
-        if message.maybe and (unsafe or bound) or self.now >= message.window_end:
-            return False
-        return self._turn_at(message) <= self.now
+        barred = message.maybe and (unsafe or bound) or self.now >= message.window_end
+        return not barred and self._turn_at(message) <= self.now
 
     def _most(self, message: Message) -> int:
         """The most attempts that a message may have."""
@@ -427,7 +426,7 @@
     def _opens(self, route: Route) -> int:
         """When the route may take its next call: told waits, rests, and the way back after an outage."""
         opens = max(route.wait_until, route.dest.wait_until)
-        opens = max(opens, route.limit.due - BURST)
+        opens = max(opens, self._turn(route, route.limit.due - BURST))
         if route.limit.fulls and route.inflight:
             return max(opens, self.now + REST_FIRST)  # after a refusal, one call finds out
         if not route.oks and route.inflight >= UNTRIED:  # it may hang as those do that it came to replace
@@ -441,14 +440,25 @@
                     opens = self.now + LOOK_AGAIN
         return opens
 
+    def _turn(self, route: Route, at: int) -> int:
+        """Its next turn from then on, where many share a limit of which little is left: by number and clock.
+
+        Those whom one clump or one told wait held back would all call in the same instant, and what one knows
+        that calls seldom is old. Harm: half a share's wait, where calls would often be refused.
+        """
+        limit = route.limit
+        even = int(SECOND * self.s.forwarders / limit.rate) if limit.rate else NEVER
+        if not self.many or limit.gap < TURNS * even:
+            return at
+        at = max(at, limit.last + even // 2)
+        frame = 1 << (4 * even).bit_length()  # rates are told with noise: few turns are counted from one instant
+        turn = (self.s.number / self.s.forwarders + route.place) % 1
+        return at + int(turn * even - (at + self.ahead) % frame) % even
+
     def _doubtful(self, route: Route) -> bool:
         """Whether calls there may well wait in vain. One quick failure is no sign: some lose one at times."""
         return route.down or route.bad > 1 or route.bad > 0 and route.timed_out or self._silent(route)
 
-    def _any_open(self, dest: Destination) -> bool:
-        """Whether any of its routes may take a call now."""
-        return any(self._opens(route) <= self.now for route in dest.routes)
-
     def _silent(self, route: Route) -> bool:
         """Calls are out and nothing has come back for long: hanging, until something does.
 
@@ -498,15 +508,10 @@
     def _cap(self, dest: Destination) -> int:
         """At most half the slots for one destination, fewer while its calls run long."""
         half = int(self.s.slots // 2 * min(1.0, LONG_CALLS * self._pace() / max(dest.mean, 1.0)))
-        if any(self._silent(route) for route in dest.routes):
-            half //= 2
-        return max(1, half)
+        return max(1, half // 2 if any(self._silent(route) for route in dest.routes) else half)
 
     def _pump(self, dest: Destination) -> None:
         """Send what may go now, in order; say when to look again."""
-        if not dest.queue:
-            self.waiting.pop(dest.id, None)
-            return
         others = any(d is not dest and d.wake <= self.now for d in self.waiting.values())  # for a slot
         cap = self._cap(dest)
         kept: list[Message] = []
@@ -517,7 +522,8 @@
         bundle = self.s.bundles[dest.kind] if dest.kind < len(self.s.bundles) else 1
         queue, free = dest.queue, self.s.slots - self.inflight
         scarce = others or free <= max(1, self.s.slots // 8)
-        if len(queue) > 1 and (dest.inflight < cap or not scarce) and self._any_open(dest):
+        able = len(queue) > 1 and (dest.inflight < cap or not scarce)
+        if able and any(self._opens(route) <= self.now for route in dest.routes):
             queue = sorted(queue, key=lambda m: -self._worth(m, self.now))
         for place, message in enumerate(queue):
             if self.now >= message.window_end:
@@ -534,10 +540,9 @@
             free = self.s.slots - self.inflight
             if free <= 0 or (dest.inflight >= cap and (others or free <= max(1, self.s.slots // 8))):
                 wake = self.now  # as soon as a slot is free
+                kept += queue[place:] if bundle <= 1 else [message]
                 if bundle > 1:
-                    kept.append(message)
                     continue
-                kept += queue[place:]
                 break
             opens = opens or [max(self._opens(route), self.now) for route in dest.routes]
             soonest = min(opens, default=NEVER)
@@ -566,15 +571,13 @@
         dest.queue = kept
         for message in hopeless:
             self._give_up(message)
+        self.waiting.pop(dest.id, None)
         if kept:
-            wake = min(wake, *(message.window_end for message in kept), NEVER)
             self.waiting[dest.id] = dest
-            if wake > self.now:
+            if (wake := min(wake, *(message.window_end for message in kept), NEVER)) > self.now:
                 self._wake(dest, wake)
             else:
                 dest.wake = self.now
-        else:
-            self.waiting.pop(dest.id, None)
 
     def _choose(self, message: Message) -> Route | None:
         """The first route, from the message's own on, that is open and serves at a usual pace."""
@@ -618,6 +621,7 @@
             limit.due = max(limit.due, self.now) + int(limit.gap)
             if len(limit.sends) > 1 and limit.sends[1] <= self.now - self.s.fall_ns:
                 self._prune(limit.sends)
+            limit.last = self.now
             limit.sends.append(self.now)
             limit.spread = 0.5 + self.random.random()
         call.open += 1
@@ -741,7 +745,9 @@
         outcome = event.outcome
         column, left, limit = self.s.limit_column, self.s.share_left_column, route.limit
         if column is not None and column < len(event.report):
-            limit.rate = event.report[column] if 0.01 < event.report[column] < 1e6 else 0.0
+            told = event.report[column] if 0.01 < event.report[column] < 1e6 else 0.0
+            gain = RATE_GAIN if abs(limit.rate - told) < NEAR * told else 1.0  # further off, it holds at once
+            limit.rate += gain * (told - limit.rate)
         unused = UNTOUCHED  # the allowance left, where it is told
         if limit.rate and left is not None and left < len(event.report):
             unused = event.report[left]
@@ -752,7 +758,7 @@
         if not limit.fulls:
             crowd[1] += FAILING_GAIN * (refused - crowd[1])
         if refused:
-            limit.learn(self.now, True, even, crowd[0], max(0.0, 1 - FEW / self.s.forwarders))
+            limit.learn(self.now, True, even, crowd[0], self.many)
             limit.fulls += 1
             if limit.fulls == 1:
                 limit.full_since = self.now
@@ -782,7 +788,7 @@
         if not failed:
             if route.down and route.back is None:
                 limit.gap, limit.due = 0.0, self.now  # it was shut: the ramp has its own pace
-            limit.learn(self.now, False)
+            limit.learn(self.now, False, even, 0.0, self.many, unused if limit.rate else 1.0)
             route.bad = limit.fulls = 0
             route.failed.pop(kind, None)
             route.dest.bad, route.dest.sick_at = 0, -NEVER
--- a/snowlock/interface.py
+++ b/snowlock/interface.py
@@ -107,6 +107,7 @@
     max_retry_after_ns: int = 0
     tick_ns: int = 1_000_000
     forwarders: int = 1
+    number: int = 0  # this one's place among them
     zone: int = 0
     connect_timeout_ns: int = 1_000_000_000
     idle_ns: int = 1 << 62  # idle connections are closed after this
--- a/snowlock/settings.py
+++ b/snowlock/settings.py
@@ -99,6 +99,7 @@
         max_retry_after_ns=limits.get("max_retry_after_ns", int, 0),
         tick_ns=top.get("quantum_ns", int),
         forwarders=top.get("n_instances", int),
+        number=top.get("my_number", int, 0),
         zone=top.get("zone", int, 0),
         connect_timeout_ns=limits.get("connect_timeout_ns", int),
         idle_ns=limits.get("conn_idle_ns", int, 1 << 62),
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,6 +9,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 
 from snowlock import Controller
 from snowlock.interface import (
@@ -66,7 +67,7 @@
 
     def __init__(self, call: Callable[[int], tuple[Outcome, tuple[float, ...]]], given: Settings) -> None:
         self.now, self.call = 1_000 * SECOND, call
-        self.modules = [Controller(given, seed) for seed in range(FORTY)]
+        self.modules = [Controller(replace(given, number=which), seed=which) for which in range(FORTY)]
         self.due: list[tuple[int, int, int, object]] = []
         self.order = 0
         self.calls: list[tuple[int, int, Outcome]] = []  # when, by whom, how it ended
@@ -123,3 +124,9 @@
     for rate, load in ((5.0, 1.0), (13.0, 1.2)):
         served, refused = served_and_refused(rate, load)
         assert served > 0.45 * rate and refused < served
+
+
+def test_forty_couriers_take_turns_where_little_of_a_limit_is_left() -> None:
+    """Out of step by number and clock; at random, as many of their calls would be refused as a queue has peaks."""
+    served, refused = served_and_refused(40.0, 1.5)
+    assert served > 0.8 * 40 and refused < 0.05 * 40
