--- a/kestrelspar/http/watch.py
+++ b/kestrelspar/http/watch.py
@@ -8,6 +8,7 @@
 
 from kestrelspar.core.courier import Carrier, Courier, NextHop
 from kestrelspar.http import parser
+from kestrelspar.http.asking import Asking
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, Closed, Late, Stream
 from kestrelspar.runtime.loop import MS, SECOND, Loop, connect
@@ -16,7 +17,6 @@
 
 SOURCE = "discovery"
 SILENCE = 5 * SECOND  # an empty line comes every 2 s: after this the connection is given up
-WAIT_FIRST, WAIT_MOST = 50 * MS, 2 * SECOND
 MOST_LINE = 4 * 1024 * 1024
 
 
@@ -34,11 +34,16 @@
     """Follows discovery and hands the courier what it tells."""
 
     def __init__(self, loop: Loop, buffers: BufferPool, courier: Courier, carrier: Carrier,
-                 discovery: tuple[str, int]) -> None:
+                 discovery: tuple[str, int], seed: int = 1) -> None:
         self.loop, self.buffers, self.courier, self.carrier = loop, buffers, courier, carrier
         self.discovery = discovery
         courier.map.unheard.add(SOURCE)
-        self.index = 0  # of what was heard last; 0: nothing, so the whole list is asked for
+        self.index = 0  # of what was heard last
+        self._asking = Asking(courier.settings.forwarders, seed)
+        self._lost: int | None = None  # since when no line has come
+        self._tries = 0  # to hear again, since then
+        self._status: int | None = None  # of a question that was refused
+        self._based = False  # whether a whole list is there that changes after ``index`` can build on
         self._stream: Stream | None = None
         self._moves = 0
 
@@ -58,6 +63,7 @@
             if hop.endpoint.state is not api.EndpointState.READY:
                 logs.event("map-leaves", source=SOURCE, hop=hop.name, state=hop.endpoint.state.name.lower())
         self.courier.listed(SOURCE, hops, whole)
+        self._based = self._based or whole
         index = raw.get("index")
         if isinstance(index, int) and not isinstance(index, bool):
             self.index = index
@@ -65,24 +71,30 @@
     def move(self, discovery: tuple[str, int]) -> None:
         """Follow discovery at another address from now on, beginning with its whole list."""
         self.discovery, self.index, self._moves = discovery, 0, self._moves + 1
+        self._based = False
         if self._stream is not None:
             self._stream.close()
         self.loop.spawn(self.run)  # the old task may wait for a connection, and ends by itself
 
     def run(self) -> None:
-        """Watch until discovery moves; reconnect with growing waits."""
-        wait, moves = WAIT_FIRST, self._moves
+        """Watch until discovery moves; ask again with growing waits, out of step with other couriers."""
+        moves = self._moves
+        if self._based:
+            self.loop.sleep(self._asking.start())
         while moves == self._moves:
             heard = self._watch()
             if moves != self._moves:
                 return
-            wait = WAIT_FIRST if heard else min(WAIT_MOST, 2 * wait)
-            logs.event("map-break", source=SOURCE, revision=self.index, again_ms=wait // MS)
+            wait = self._asking.broke(heard)
+            if heard or self._lost is None:  # one line for a break and one for its end, not one for each try
+                logs.event("map-break", source=SOURCE, revision=self.index, status=self._status, again_ms=wait // MS)
+                self._lost, self._tries = self.loop.now, 0
+            self._tries += 1
             self.loop.sleep(wait)
 
     def _watch(self) -> bool:
         """One connection's life; whether it told anything."""
-        heard, moves = False, self._moves
+        heard, moves, self._status = False, self._moves, None
         sock = connect(self.loop, self.discovery, self.loop.now + SILENCE)
         if sock is None:
             return False
@@ -92,13 +104,15 @@
             return False
         self._stream = stream
         try:
-            if not self.index:
+            if not self._based and not self.index:
                 heard = self._whole(stream)
+                if not heard:
+                    return False
             target = f"/registry/instances?watch=1&after={self.index}"
             stream.write(parser.request("GET", target, "app.svc", {}), self.loop.now + SILENCE)
             answer = parser.read_head(stream, self.loop.now + SILENCE, response=True)
             if answer.status != 200:
-                logs.warn("map-refused", source=SOURCE, status=answer.status)
+                self._status = answer.status
                 return False
             chunks = parser.Chunks() if parser.body_length(answer) is None else None
             lines = Lines()
@@ -128,10 +142,15 @@
         body = parser.read_body(stream, answer, deadline, response=True, most=MOST_LINE)
         if answer.status == 200:
             self._line(body)
+        else:
+            self._status = answer.status
         return answer.status == 200
 
     def _line(self, line: bytes) -> None:
         self.courier.map.unheard.discard(SOURCE)
+        if self._lost is not None:
+            logs.event("map-heard", source=SOURCE, tries=self._tries, after_ms=(self.loop.now - self._lost) // MS)
+            self._lost = None
         if not line.strip():
             return
         try:
--- a/kestrelspar/serve.py
+++ b/kestrelspar/serve.py
@@ -229,7 +229,7 @@
     registries = Registries(loop, buffers, courier, all_told)
     kept += registries.descriptors
     server = SenderServer(loop, buffers, courier, notices, max(16, told.sockets - kept))
-    watch = Watch(loop, buffers, courier, carrier, told.discovery)
+    watch = Watch(loop, buffers, courier, carrier, told.discovery, told.seed)
     loop.spawn(_heed, loop, ear, {
         signal.SIGTERM: courier.close, signal.SIGINT: courier.close,
         signal.SIGHUP: partial(_reload, environment, all_told, watch, notices, registries),
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -544,6 +544,23 @@
     assert b"s-9" in stage.courier.map.hops
 
 
+def test_an_overbooked_discovery_costs_one_question_a_try_and_two_log_lines(
+        tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    # Guards against a herd: with an older whole list at hand, the whole list need not be asked for too.
+    line = json.dumps({"index": 1, "snapshot": False, "endpoints": [ROW]}).encode() + b"\n"
+    refusals = [parser.response(503, keep=False)] * 4
+    heard = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(line), line)
+    stage = Stage(tmp_path, ok, lambda *_: refusals.pop() if refusals else heard)
+    watch = watch_on(stage.courier, stage)
+    watch.take({"index": 0, "snapshot": True, "endpoints": [{**ROW, "name": "s-8"}]})
+    stage.loop.spawn(watch.run)
+    stage.until(lambda: b"s-9" in stage.courier.map.hops)
+    assert [h.first[1].rpartition("=")[2] for h, _ in stage.platform.seen] == ["0"] * 5
+    assert b"s-8" in stage.courier.map.hops
+    out = capsys.readouterr().out
+    assert out.count("event=map-break") == 1 and "status=503" in out and out.count("event=map-heard") == 1
+
+
 def test_discovery_that_moves_is_followed_at_once_and_told_what_is_owed(tmp_path: Path) -> None:
     # Guards against a courier that keeps on asking and telling an address that answers no more.
     stage = Stage(tmp_path, ok, lambda *_: None)
