--- a/kestrelspar/serve.py
+++ b/kestrelspar/serve.py
@@ -12,7 +12,6 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from kestrelspar import plugins
 from kestrelspar.core import entries
 from kestrelspar.core.courier import Courier
 from kestrelspar.core.transport_map import NextHop
@@ -22,7 +21,6 @@
 from kestrelspar.http.watch import Watch
 from kestrelspar.journal import Journal
 from kestrelspar.registry import keep
-from kestrelspar.registry.follower import Follower
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import SIZE, BufferPool
 from kestrelspar.runtime.loop import Loop, listen
@@ -33,6 +31,7 @@
 
 if TYPE_CHECKING:
     from kestrelspar.keys import Keys  # with ssl: only where it is wanted
+    from kestrelspar.registry.follower import Follower
 
 BUFFERS_PART = 8  # of the memory, one in so many bytes goes to read buffers at most
 MOST_KEPT = 0.5  # of the disk, for kept lists; the rest is the journal's
@@ -81,7 +80,11 @@
             self.registries = self.keys.secured(self.registries)
         extra = self.conf.one(schema.Plugins)
         scripts = extra.scripts if extra.enabled else ()
-        self.rules = [rule for name in scripts for rule in plugins.read(Path(name))]
+        self.rules = []
+        if scripts:  # here and below: what is off costs no time between exec and ready, when a whole fleet starts
+            from kestrelspar import plugins
+
+            self.rules = [rule for name in scripts for rule in plugins.read(Path(name))]
         reserved = sum(keep.reserve(r.told.keep) for r in self.registries)
         if reserved > MOST_KEPT * self.platform.disk_bytes:
             told = next(t for t in self.conf.many(schema.Registry) if t.label == self.registries[0].label)
@@ -144,6 +147,8 @@
                 continue
             if self._carrier is None:
                 self._carrier = NextHops(self._loop, self._buffers, self._told.platform.settings, self._idle)
+            from kestrelspar.registry.follower import Follower
+
             seed = self._told.platform.seed ^ zlib.crc32(label.encode())
             self._followers[label] = Follower(self._loop, self._buffers, self._courier, self._carrier, registry,
                                               self._told.platform.state, seed)
@@ -224,6 +229,8 @@
     if smpp is not None and smpp_listener is not None:
         kept += _smpp(smpp, smpp_listener, loop, buffers, courier, told.seed, all_told.keys)
     if all_told.rules:
+        from kestrelspar import plugins
+
         courier.hooks.append(plugins.Plugins(loop, told.settings, all_told.rules))
         logs.event("plugins", rules=len(all_told.rules))
     registries = Registries(loop, buffers, courier, all_told)
--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -171,7 +171,7 @@
         self.ahead = ahead  # of our clock, the one that all forwarders read
         self.many = max(0.0, 1 - FEW / settings.forwarders)
         self.random = random.Random(seed)
-        self.now = self.sweep_at = 0  # the latter: when gone routes are next forgotten, where many are listed
+        self.now = self.sweep_at = 0  # the latter: when gone routes are next forgotten
         self.messages: dict[int, Message] = {}
         self.routes: dict[api.EndpointId, Route] = {}
         self.dests: dict[int, Destination] = {}
@@ -451,7 +451,7 @@
         if not self.many or limit.gap < TURNS * even:
             return at
         at = max(at, limit.last + even // 2)
-        frame = 1 << (4 * even).bit_length()  # rates are told with noise: few turns are counted from one instant
+        frame = 1 << (4 * even).bit_length()  # rates are noisy: few turns are counted from one instant
         turn = (self.s.number / self.s.forwarders + route.place) % 1
         return at + int(turn * even - (at + self.ahead) % frame) % even
 
@@ -746,7 +746,7 @@
         column, left, limit = self.s.limit_column, self.s.share_left_column, route.limit
         if column is not None and column < len(event.report):
             told = event.report[column] if 0.01 < event.report[column] < 1e6 else 0.0
-            gain = RATE_GAIN if abs(limit.rate - told) < NEAR * told else 1.0  # further off, it holds at once
+            gain = RATE_GAIN if abs(limit.rate - told) < NEAR * told else 1.0  # further off, it holds
             limit.rate += gain * (told - limit.rate)
         unused = UNTOUCHED  # the allowance left, where it is told
         if limit.rate and left is not None and left < len(event.report):
--- a/snowlock/interface.py
+++ b/snowlock/interface.py
@@ -5,10 +5,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum, IntEnum
 from typing import Union
 
+from msgspec import Struct
+
 EndpointId = bytes
 
 
@@ -66,8 +67,7 @@
     NOMINAL = "nominal"
 
 
-@dataclass(frozen=True, slots=True)
-class MessageClass:
+class MessageClass(Struct, frozen=True):
     """One class of message."""
 
     aim_ns: int
@@ -81,16 +81,14 @@
     name: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Tenant:
+class Tenant(Struct, frozen=True):
     """A tenant's share, in messages a second over all forwarders."""
 
     rate: float
     name: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Settings:
+class Settings(Struct, frozen=True):
     """All that a controller is told at its start."""
 
     classes: tuple[MessageClass, ...]
@@ -141,8 +139,7 @@
             raise ValueError("settings: cold_from, tip_multiple or settle_ns is impossible")
 
 
-@dataclass(frozen=True, slots=True)
-class Endpoint:
+class Endpoint(Struct, frozen=True):
     """One line of the endpoint list."""
 
     id: EndpointId
@@ -157,16 +154,14 @@
     fails: int = 0  # failures in a row that make an outage
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointList:
+class EndpointList(Struct, frozen=True):
     """News of the endpoint list."""
 
     kind: ListKind
     endpoints: tuple[Endpoint, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Arrival:
+class Arrival(Struct, frozen=True):
     """A message was accepted and is owed one final answer.
 
     One held before a restart comes with its past: a call that was out then may have run.
@@ -182,8 +177,7 @@
     maybe_since_ns: int | None = None  # when the first attempt left that may have run
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptEnded:
+class AttemptEnded(Struct, frozen=True):
     """An attempt has its outcome; ``closed`` says that the message is answered."""
 
     message: int
@@ -197,15 +191,13 @@
     report: tuple[float, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Withdrawn:
+class Withdrawn(Struct, frozen=True):
     """Nobody wants this message any more; no answer is owed."""
 
     message: int
 
 
-@dataclass(frozen=True, slots=True)
-class TimerFired:
+class TimerFired(Struct, frozen=True):
     """A timer set by the controller has come due."""
 
     token: int
@@ -214,8 +206,7 @@
 Event = Union[EndpointList, Arrival, AttemptEnded, Withdrawn, TimerFired]
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
+class Send(Struct, frozen=True):
     """Start the message's next attempt."""
 
     message: int
@@ -223,43 +214,37 @@
     timeout_ns: int
 
 
-@dataclass(frozen=True, slots=True)
-class Refuse:
+class Refuse(Struct, frozen=True):
     """Final answer: not delivered, and it is safe to hand the message in again."""
 
     message: int
     retry_after_ns: int
 
 
-@dataclass(frozen=True, slots=True)
-class Fail:
+class Fail(Struct, frozen=True):
     """Final answer: not known to be delivered."""
 
     message: int
 
 
-@dataclass(frozen=True, slots=True)
-class CloseIdle:
+class CloseIdle(Struct, frozen=True):
     """Shut idle connections to an endpoint."""
 
     endpoint: EndpointId
 
 
-@dataclass(frozen=True, slots=True)
-class SetTimer:
+class SetTimer(Struct, frozen=True):
     """Ask for ``TimerFired`` at or after ``at_ns``."""
 
     token: int
     at_ns: int
 
 
-@dataclass(frozen=True, slots=True)
-class Subscribe:
+class Subscribe(Struct, frozen=True):
     """Ask for endpoint list changes from now on."""
 
 
-@dataclass(frozen=True, slots=True)
-class Log:
+class Log(Struct, frozen=True):
     """A line for on-call staff."""
 
     text: str
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,7 +9,8 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from snowlock import Controller
 from snowlock.interface import (
