--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -30,9 +30,8 @@
     Settings,
     TimerFired,
 )
+from tests.forwarder import MS, SECOND
 
-MS = 1_000_000
-SECOND = 1_000 * MS
 FORTY = 40
 CALL = 40 * MS
 
