--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -301,7 +301,7 @@
             self.routes = {route.id: route for route in kept}
         for route in fresh:
             rates = [other.limit.rate for other in route.dest.routes if other.limit.rate]
-            if rates and not route.limit.rate:  # many hear of it at once, and would all call it at once
+            if self.many and rates and not route.limit.rate:  # all hear of it, and would call it, at once
                 route.limit.rate, route.limit.heard = min(rates), self.now
                 route.limit.gap = self.many * SECOND * self.s.forwarders / min(rates)
             # Where routes share the outage too, a replacement listed during it is no healthier than the rest.
--- a/tests/forwarder.py
+++ b/tests/forwarder.py
@@ -113,10 +113,10 @@
         return self.feed(Arrival(number, cls, destination, left, 0, key))
 
     def outcome(self, number: int, outcome: Outcome, wait_ns: int = 0, latency: int = 100 * MS,
-                attempt: int | None = None) -> list[Send]:
+                attempt: int | None = None, report: tuple[float, ...] = ()) -> list[Send]:
         which = self.attempts[number] - 1 if attempt is None else attempt
         target = self.out.pop((number, which))
         closed = outcome is Outcome.OK or number in self.ended
         if outcome is Outcome.OK and number not in self.ended:
             self.ended[number] = (self.now, outcome)
-        return self.feed(AttemptEnded(number, which, target, outcome, latency, closed, wait_ns))
+        return self.feed(AttemptEnded(number, which, target, outcome, latency, closed, wait_ns, report=report))
