Connections and the process end in order: no reset over unread bytes, no exit over a request

A notice on a kept connection that had fallen silent took 2 s, where an end may be late by 0.3 s; a batch with five bad lines of 200 went out line by line. Now: one ending (half-close, read on within a bound, close); SIGTERM ends resting connections at once and new ones as they rest, takes the listener's queue before it is closed, and waits for connections and notices until 3.5 s. A first notice has 150 ms, each next one twice that on a new connection; a bad line is found by halves. Ruled out: a close over a resting connection with nothing unread needs no half-close when descriptors run short; it is a FIN. Two tests looked at the count of connections right after the half-close; they wait for the end now, within the same bounds.

--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -28,7 +28,7 @@
 from snowlock.interface import Outcome
 
 NS = 1_000  # nanoseconds of the module in one of our microseconds
-CONNECTIONS_LATE = 500 * MS  # after SIGTERM: new connections may come for 400 ms
+STAY = 500 * MS  # after SIGTERM, at least: new connections may come for 400 ms
 NO_NEW_ATTEMPTS = 2_200 * MS  # after SIGTERM: what starts later might not come back in time
 LEAVE_AT = 3_500 * MS  # after SIGTERM: SIGKILL may come at 3.7 s
 COME_BACK = 1_000 * MS  # to a client deferred at the door
@@ -190,6 +190,8 @@
         self.senders: dict[str, SenderSide] = {}
         self.later: dict[str, Later] = {}  # who tells outcomes that come later, by name
         self._awaiting: dict[int, tuple[Message, str, dict[str, Any]]] = {}  # accepted, and no outcome yet
+        self.at_close: list[Callable[[], None]] = []  # the fronts' graceful shutdown: each a task, from SIGTERM on
+        self.unfinished: list[Callable[[], bool]] = []  # fronts the process may not exit over yet
         self.at_leave: list[Callable[[], None]] = []  # the fronts' farewells
         self.hooks: list[Hook] = []
         self.peers: Peers | None = None
@@ -615,15 +617,15 @@
         if self.closing is None:
             self.closing, self.ready = self.loop.now, False
             logs.event("closing", open=len(self.open), out=self.out)
+            for call in self.at_close:
+                self.loop.spawn(call)
             self.loop.spawn(self._leave)
 
     def _leave(self) -> None:
         assert self.closing is not None
-        self.loop.sleep(CONNECTIONS_LATE)
-        while self.loop.now < self.closing + LEAVE_AT and (self.journal.entries or self.out):
+        self.loop.sleep(STAY)
+        while self.loop.now < self.closing + LEAVE_AT and self._unfinished():
             self.loop.sleep(10 * MS)
-            if self.loop.now > self.closing + NO_NEW_ATTEMPTS and not self.out:
-                break
         for farewell in self.at_leave:
             farewell()
         if self.at_leave:
@@ -631,5 +633,11 @@
         logs.event("closed", kept=len(self.journal.entries), out=self.out)
         self.loop.stop()
 
+    def _unfinished(self) -> bool:
+        """Whether staying may still bring something: an end, an outcome, an answer or a notice."""
+        assert self.closing is not None
+        may_try = bool(self.journal.entries) and self.loop.now <= self.closing + NO_NEW_ATTEMPTS
+        return bool(self.out) or may_try or any(busy() for busy in self.unfinished)
+
 
 __all__ = ["Answer", "Carrier", "Courier", "End", "Message", "NextHop", "Result", "SECOND", "SenderSide"]
--- a/kestrelspar/http/notices.py
+++ b/kestrelspar/http/notices.py
@@ -10,8 +10,10 @@
 from kestrelspar.runtime.buffers import BufferPool, Closed, Late, Stream
 from kestrelspar.runtime.loop import MS, SECOND, Loop, Parking, connect
 
-ANSWER_WITHIN = 2 * SECOND
-WAIT_FIRST, WAIT_MOST = 25 * MS, 1 * SECOND
+# An end may be told 300 ms after a message's time. A kept connection that has fallen silent must not use that up: the
+# platform answers at once, so the first try is short; each next one, on a new connection, has more time.
+ANSWER_FIRST, ANSWER_MOST = 150 * MS, 2 * SECOND
+WAIT_FIRST, WAIT_MOST = 25 * MS, 250 * MS
 MOST_AT_ONCE = 200
 
 
@@ -56,15 +58,15 @@
 
     def _tell(self) -> None:
         """Send what is owed, in batches, until nothing is, or the platform moves."""
-        wait, moves = WAIT_FIRST, self._moves
+        wait, within, most, moves = WAIT_FIRST, ANSWER_FIRST, MOST_AT_ONCE, self._moves
         while self._owed:
-            batch = self._owed[:MOST_AT_ONCE]
-            status = self._post("".join(line + "\n" for line, _ in batch).encode())
-            if status == 400 and len(batch) > 1:  # one line must not hold back the others
-                batch = batch[:1]
-                status = self._post((batch[0][0] + "\n").encode())
+            batch = self._owed[:most]
+            status = self._post("".join(line + "\n" for line, _ in batch).encode(), within)
             if moves != self._moves:
                 return  # another task tells the new address
+            if status == 400 and len(batch) > 1:  # one line must not hold back the others: it is looked for by halves
+                most = len(batch) // 2
+                continue
             if status == 400:
                 logs.error("notice-refused", notice=batch[0][0])
             elif status is None or not 200 <= status < 300:
@@ -72,17 +74,21 @@
                 self.loop.sleep(wait)
                 if moves != self._moves:
                     return
-                wait = min(WAIT_MOST, 2 * wait)
+                wait, within = min(WAIT_MOST, 2 * wait), min(ANSWER_MOST, 2 * within)
                 continue
-            wait = WAIT_FIRST
+            wait, within, most = WAIT_FIRST, ANSWER_FIRST, min(MOST_AT_ONCE, 2 * most)
             del self._owed[: len(batch)]
             for _, heard in batch:
                 heard.resume()
         self._busy = False
 
-    def _post(self, body: bytes) -> int | None:
-        """The status of one post, on the kept connection or a new one."""
-        deadline, moves = self.loop.now + ANSWER_WITHIN, self._moves
+    def owed(self) -> bool:
+        """Whether an end was not heard yet."""
+        return bool(self._owed)
+
+    def _post(self, body: bytes, within: int) -> int | None:
+        """The status of one post, on the kept connection or a new one, if it came within so many microseconds."""
+        deadline, moves = self.loop.now + within, self._moves
         stream, self._stream = self._stream, None
         if stream is not None and not stream.quiet():
             stream.close()
--- a/kestrelspar/http/sender.py
+++ b/kestrelspar/http/sender.py
@@ -19,8 +19,11 @@
 SILENT = 2_100 * MS  # without a request: usual clients open another connection when they need it
 READ_WITHIN = 2_500 * MS  # from a request's first byte to its last
 FIRST_WITHIN = 2_700 * MS  # the first one, from the connection's beginning
-LEAVE_WITHIN = 5_500 * MS  # from its beginning: so long a rejected client may still send
+LINGER = 3_000 * MS  # after the half-close: so long a client may still send
 PAUSE = 300 * MS  # or until it pauses
+LAST_FIRST = 600 * MS  # in a shutdown: so long a new connection's first request may take to begin
+CONNECTIONS_LATE = 500 * MS  # after SIGTERM: new connections may come for 400 ms
+STEP = 20 * MS  # of a shutdown
 ACCEPTS = 32  # connections taken in one turn
 REJECTIONS = {Reason.DUPLICATE: 409}
 WRITE_WITHIN = 400 * MS  # a client waits so long for its answer
@@ -39,13 +42,15 @@
 class State(Enum):
     """What a client's connection is doing; the order in which they give way when there are too many."""
 
-    LEAVING = "turned away, and reading on until it has heard"
+    LEAVING = "half-closed, and reading on until it has heard"
     NEW = "has asked nothing yet"
     ASKING = "in the middle of a request"
     IDLE = "between requests"
     SERVED = "waits for our answer"
 
 
+# How long a connection in each state is left alone. One with unread bytes is not closed at once, as that is a reset: a
+# request that has begun is answered 408 and half-closed, and what was half-closed had its time to be read to the end.
 SPARED = {State.LEAVING: 100 * MS, State.NEW: 50 * MS, State.ASKING: 300 * MS, State.IDLE: 0}
 
 
@@ -68,6 +73,9 @@
         self._most_idle = max(4, most // 4)  # and of those kept open between requests
         self._clients: dict[State, dict[Client, int]] = {state: {} for state in State}  # since when, in order
         self._tallies: dict[tuple[str, str], int] = {}
+        self._listener: socket.socket | None = None
+        courier.at_close.append(self.wind_down)
+        courier.unfinished.append(self.busy)
 
     @property
     def count(self) -> int:
@@ -75,7 +83,8 @@
         return sum(map(len, self._clients.values()))
 
     def accept(self, listener: socket.socket) -> None:
-        """Take connections for as long as the process runs."""
+        """Take connections until the listener is closed."""
+        self._listener = listener
         while True:
             self.loop.readable(listener, None)
             for _ in range(ACCEPTS):  # one a turn would let those who say nothing hold up all others
@@ -84,16 +93,21 @@
                 except BlockingIOError:
                     break
                 except OSError as error:
+                    if listener.fileno() < 0:
+                        return
                     logs.warn("not-accepted", front="http", why=str(error))
                     self.loop.sleep(20 * MS)
                     break
                 while self.count >= self._most and not self._make_room():
                     self.loop.sleep(5 * MS)  # it and those behind it wait for one that gives way
-                sock.setblocking(False)
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                client = Client(Stream(self.loop, sock, self.buffers, guest=True), self.loop.now)
-                self._clients[State.NEW][client] = client.since
-                self.loop.spawn(self._serve, client)
+                self._greet(sock)
+
+    def _greet(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        client = Client(Stream(self.loop, sock, self.buffers, guest=True), self.loop.now)
+        self._clients[State.NEW][client] = client.since
+        self.loop.spawn(self._serve, client)
 
     def _is(self, client: Client, state: State) -> None:
         """The connection goes on to another state, unless it was made to give way meanwhile."""
@@ -110,12 +124,48 @@
                     break
                 if state in (State.NEW, State.IDLE) and not client.stream.quiet():
                     continue
-                del self._clients[state][client]
                 self._tally("closed-to-make-room", state.value)
+                if state is State.ASKING:  # room comes once it has heard
+                    client.stream.expire()
+                    return False
+                del self._clients[state][client]
                 client.stream.close()
                 return True
         return False
 
+    # The end of the process
+
+    def wind_down(self) -> None:
+        """SIGTERM: end resting connections in order, and each other one as soon as it rests.
+
+        Guards against clients that rest until the courier ends them, and send on whatever is still open then.
+        """
+        begun = self.loop.now
+        while True:
+            for client in list(self._clients[State.IDLE]):
+                client.stream.expire()
+            for client, since in list(self._clients[State.NEW].items()):
+                if max(since, begun) <= self.loop.now - LAST_FIRST:
+                    client.stream.expire()
+            if self._listener is not None and self.loop.now >= begun + CONNECTIONS_LATE:
+                self._close_listener(self._listener)
+            self.loop.sleep(STEP)
+
+    def _close_listener(self, listener: socket.socket) -> None:
+        """Take no more connections; those that wait in its queue are taken first, as its close resets them."""
+        self._listener = None
+        for _ in range(max(0, self._most - self.count)):
+            try:
+                self._greet(listener.accept()[0])
+            except OSError:
+                break
+        self.loop.forget(listener)
+        listener.close()
+
+    def busy(self) -> bool:
+        """Whether a connection may still come, or has not come to its end yet."""
+        return self.count > 0 or self._listener is not None
+
     def _tally(self, event: str, why: str, trace: str | None = None) -> None:
         """Log what bad clients make happen often: the first at once, the others as a count each second."""
         known = (event, why)
@@ -136,20 +186,29 @@
 
     def _serve(self, client: Client) -> None:
         """One connection: requests in turn, until a side ends it or says nothing for too long."""
-        stream, keep = client.stream, True
         try:
-            while keep:
-                silent = client.since + SILENT if client.state is State.NEW else self.loop.now + SILENT
-                while not stream.unread:
-                    stream.fill(silent)
-                keep = self._request(client)
-                if keep:
-                    self._is(client, State.IDLE)
+            while self._asked(client) and self._request(client):
+                self._is(client, State.IDLE)
+            self._finish(client)
         except (Closed, Late):
             pass
         finally:
             self._clients[client.state].pop(client, None)
-            stream.close()
+            client.stream.close()
+
+    def _asked(self, client: Client) -> bool:
+        """Wait for the first byte of a request; false when the connection has rested for too long."""
+        stream, silent = client.stream, self.loop.now + SILENT
+        if client.state is State.NEW:
+            silent = client.since + SILENT
+        while not stream.unread:
+            try:
+                stream.fill(silent)
+            except Late:
+                if stream.quiet():
+                    return False
+                silent = self.loop.now + READ_WITHIN  # it began in that very moment, and is served
+        return True
 
     def _request(self, client: Client) -> bool:
         """Read one request and answer it; whether the connection goes on."""
@@ -182,7 +241,6 @@
             self._tally("request-rejected", str(error))
             stream.write(parser.response(error.status, f"{error}\n".encode(), keep=False),
                          self.loop.now + WRITE_WITHIN)
-            self._linger(client)
             return False
         except Late:
             self._tally("request-rejected", "it did not come to its end")
@@ -221,14 +279,19 @@
         finally:
             answered.resume(False)
 
-    def _linger(self, client: Client) -> None:
-        """Throw away what still comes after a rejection, else the reset might overtake the answer."""
+    def _finish(self, client: Client) -> None:
+        """The one ending of a connection that the client has not ended: stop writing, read on, then close.
+
+        A close over unread bytes is a reset, and may overtake our answer. Nothing that is read from here on is carried:
+        whoever sent it has no answer and hands it in elsewhere.
+        """
         stream = client.stream
         self._is(client, State.LEAVING)
+        until = self.loop.now + LINGER
         try:
             stream.sock.shutdown(socket.SHUT_WR)
-            while self.loop.now < client.since + LEAVE_WITHIN:
-                stream.discard(self.loop.now + PAUSE)
+            while self.loop.now < until:
+                stream.discard(min(until, self.loop.now + PAUSE))
         except (Closed, Late, OSError):
             pass
 
--- a/kestrelspar/runtime/buffers.py
+++ b/kestrelspar/runtime/buffers.py
@@ -124,6 +124,10 @@
         except OSError as error:
             raise Closed from error
 
+    def expire(self) -> None:
+        """The time of whoever waits for bytes here is over now, unless some have come in this turn."""
+        self.loop.expire(self.sock)
+
     def ended(self) -> bool:
         """Whether the peer has ended or broken the connection, as far as is known here, without reading."""
         try:
--- a/kestrelspar/runtime/loop.py
+++ b/kestrelspar/runtime/loop.py
@@ -147,6 +147,12 @@
             for parking in waits.values():
                 parking.resume(None)
 
+    def expire(self, sock: socket.socket) -> None:
+        """The time of those who wait to read from the socket is over."""
+        parking = self._waits.get(sock.fileno(), {}).get(READ)
+        if parking is not None:
+            parking.resume(LATE)
+
     def stop(self) -> None:
         """End ``run`` after this turn."""
         self._stopped = True
--- a/kestrelspar/serve.py
+++ b/kestrelspar/serve.py
@@ -229,6 +229,7 @@
     carrier = NextHops(loop, buffers, told.settings, told.sockets // 4)
     notices = Notices(loop, buffers, told.discovery)
     courier.senders[notices.name] = notices
+    courier.unfinished.append(notices.owed)
     # Descriptors: idle connections to next hops, calls out, and for discovery, notices, listeners and files.
     kept = told.sockets // 4 + told.settings.slots + max(32, told.sockets // 16)
     if all_told.maps:
