A change of the list is heard within 6 s of when discovery can be reached, whatever came between

Three loopback tests failed: a byte now and then counted as life, an indented list was cut at its lines and thrown away, an object that could not be read was passed over and what it told was missing for good. What can't be read costs its connection, is told once, and is asked for again from the last good index. A destination that is not listed is deferred (503), not rejected, while the watch is broken and 6 s after.

--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -453,8 +453,8 @@
             source = next(iter(self.stale))
             return Answer(False, True, Reason.STALE, source, self.stale[source])
         if message.dest not in self.map.dests:
-            # The lists at start may be old, so a destination that they lack may exist.
-            return Answer(False, bool(self.map.unheard), Reason.UNKNOWN_DEST, str(message.dest))
+            # Lists at a start, or of a source that has broken off, may be old: what they lack may exist.
+            return Answer(False, bool(self.map.unheard or self.map.behind), Reason.UNKNOWN_DEST, str(message.dest))
         if len(self.open) >= self.settings.max_open:
             return Answer(False, True, Reason.FULL)
         return None
--- a/kestrelspar/core/transport_map.py
+++ b/kestrelspar/core/transport_map.py
@@ -77,6 +77,7 @@
         self.hops: dict[api.EndpointId, NextHop] = {}
         self.dests: set[int] = set()  # ever listed
         self.unheard: set[str] = set()  # sources that have told nothing since the start
+        self.behind: set[str] = set()  # sources whose list may lack what has been there for a while
         self._owner: dict[api.EndpointId, str] = {}
         self._rivals: dict[api.EndpointId, dict[str, NextHop]] = {}
         self._bounds: dict[int, dict[api.EndpointId, int]] = {}  # by destination: its entries' ``within``
--- a/kestrelspar/http/watch.py
+++ b/kestrelspar/http/watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from pathlib import Path
 from typing import Any
 
@@ -9,7 +10,7 @@
 
 from kestrelspar.core.courier import Carrier, Courier, NextHop
 from kestrelspar.http import parser
-from kestrelspar.http.asking import Asking
+from kestrelspar.http.asking import ANSWER, CONNECT, SILENCE, Asking
 from kestrelspar.journal.left import Left
 from kestrelspar.runtime import heap, logs
 from kestrelspar.runtime.buffers import BufferPool, Closed, Late, Stream
@@ -18,8 +19,9 @@
 from snowlock import interface as api
 
 SOURCE = "discovery"
-SILENCE = 5 * SECOND  # an empty line comes every 2 s: after this the connection is given up
 MOST_LINE = 4 * 1024 * 1024
+PROGRESS = 64 * 1024  # bytes of a long list that count as life; a few that dribble in don't
+SURE = 6 * SECOND  # a change counts as told by then: so long after a break the list may still be behind
 PART = 1_000  # rows
 MOST_LEFT = 8 * 1024  # of the disk, for what left since ``known`` was written: some 600 names
 
@@ -46,9 +48,11 @@
         self._asking = Asking(courier.settings.forwarders, seed, not courier.settings.must_subscribe)
         self._lost: int | None = None  # since when no line has come
         self._tries = 0  # to hear again, since then
+        self._quiet = 0  # for how long the last connection had been silent, if that was its end
         self._status: int | None = None  # of a question that was refused
         self._based = False  # whether a whole list is there that changes after ``index`` can build on
         self._stream: Stream | None = None
+        self._unreadable = ""  # what could not be read last, so that it is told once
         self._moves = 0
         self._moved = False  # and no whole list has come from there yet
         self._left = None if folder is None else Left(Path(folder) / "discovery.left", MOST_LEFT, forget=True)
@@ -77,7 +81,7 @@
         A bad entry is logged and passed over, as is what is no list.
         """
         if not isinstance(raw, dict) or not isinstance(raw.get("endpoints"), list):
-            logs.warn("map-unreadable", source=SOURCE, why="not a list", got=f"{raw!r:.120}")
+            self._say_unreadable("not a list", f"{raw!r:.120}")
             return
         many = len(raw["endpoints"]) >= heap.WORTH
         if many:
@@ -124,30 +128,33 @@
         """Follow discovery at another address from now on, beginning with its whole list."""
         self.discovery, self.index, self._moves = discovery, 0, self._moves + 1
         self._based, self._moved = False, True
+        self._asking.moved()
         if self._stream is not None:
             self._stream.close()
         self.loop.spawn(self.run)  # the old task may wait for a connection, and ends by itself
 
     def run(self) -> None:
-        """Watch until discovery moves; ask again with growing waits, out of step with other couriers."""
+        """Watch until discovery moves; ask again after waits, out of step with other couriers."""
         moves = self._moves
-        if self._based:
+        if self._based or moves:
             self.loop.sleep(self._asking.start())
         while moves == self._moves:
+            self._quiet = 0
             heard = self._watch()
             if moves != self._moves:
                 return
-            wait = self._asking.broke(heard)
-            if heard or self._lost is None:  # one line for a break and one for its end, not one for each try
+            wait = self._asking.broke(heard, self._quiet)
+            if heard or self._lost is None:  # one line for a break and its end, not for each try
                 logs.event("map-break", source=SOURCE, revision=self.index, status=self._status, again_ms=wait // MS)
                 self._lost, self._tries = self.loop.now, 0
+                self.courier.map.behind.add(SOURCE)
             self._tries += 1
             self.loop.sleep(wait)
 
     def _watch(self) -> bool:
         """One connection's life; whether it told anything."""
-        heard, moves, self._status = False, self._moves, None
-        sock = connect(self.loop, self.discovery, self.loop.now + SILENCE)
+        heard, alive, moves, self._status = False, 0, self._moves, None
+        sock = connect(self.loop, self.discovery, self.loop.now + CONNECT)
         if sock is None:
             return False
         stream = Stream(self.loop, sock, self.buffers)
@@ -156,18 +163,17 @@
             return False
         self._stream = stream
         try:
-            if not self._based and not self.index:
-                heard = self._whole(stream)
-                if not heard:
-                    return False
+            if not self._based and not self.index and not self._whole(stream):
+                return False
             target = f"/registry/instances?watch=1&after={self.index}"
-            stream.write(parser.request("GET", target, "app.svc", {}), self.loop.now + SILENCE)
-            answer = parser.read_head(stream, self.loop.now + SILENCE, response=True)
+            stream.write(parser.request("GET", target, "app.svc", {}), self.loop.now + ANSWER)
+            answer = parser.read_head(stream, self.loop.now + ANSWER, response=True)
             if answer.status != 200:
                 self._status = answer.status
                 return False
             chunks = parser.Chunks() if parser.body_length(answer) is None else None
-            lines = Lines()
+            lines, objects, came = Lines(), Objects(), 0
+            alive = self.loop.now
             while True:
                 data = bytes(stream.unread)
                 if chunks is None:
@@ -175,44 +181,104 @@
                 else:
                     data, used = chunks.take(data)
                 stream.consume(used)
+                came += used
+                if came >= PROGRESS:
+                    came, alive = 0, self.loop.now
                 for line in lines.take(data):
-                    heard = True
-                    self._line(line)
+                    for text in objects.take(line):
+                        if not self._line(text):  # what it told is missing now: asked for anew from the last good one
+                            return False
+                        heard, came = True, 0
+                        alive = self.loop.now
                 if chunks is not None and chunks.done:
                     return heard
-                stream.fill(self.loop.now + SILENCE)
-        except (Closed, Late, parser.BadMessage):
+                if self.loop.now >= alive + SILENCE:
+                    raise Late
+                stream.fill(alive + SILENCE)
+        except (Closed, parser.BadMessage):
+            return heard
+        except Late:
+            self._quiet = self.loop.now - alive if alive else 0
             return heard
         finally:
             stream.close()
 
     def _whole(self, stream: Stream) -> bool:
         """Ask for the whole list, as what changed after version 0 need not be all of it; whether it came."""
-        deadline = self.loop.now + SILENCE
+        deadline = self.loop.now + ANSWER
         stream.write(parser.request("GET", "/registry/instances", "app.svc", {}), deadline)
         answer = parser.read_head(stream, deadline, response=True)
-        body = parser.read_body(stream, answer, deadline, response=True, most=MOST_LINE)
-        if answer.status == 200:
-            self._line(body)
-        else:
+        body = parser.read_body(stream, answer, self.loop.now + SILENCE, response=True, most=MOST_LINE)
+        if answer.status != 200:
             self._status = answer.status
-        return answer.status == 200
+            return False
+        return self._line(body)
 
-    def _line(self, line: bytes) -> None:
+    def _line(self, text: bytes) -> bool:
+        """Take in one object of the list, or an empty line; false where it can't be read."""
         self.courier.map.unheard.discard(SOURCE)
         if self._lost is not None:
             logs.event("map-heard", source=SOURCE, tries=self._tries, after_ms=(self.loop.now - self._lost) // MS)
             self._lost = None
-        if not line.strip():
+            self.loop.at(self.loop.now + SURE, self._sure)
+        if not text.strip():
             if self._left is not None:
                 self._left.mend()
-            return
+            return True
         try:
-            raw = ujson.loads(line)
+            raw = ujson.loads(text)
         except ValueError as error:
-            logs.warn("map-unreadable", source=SOURCE, why=str(error), got=f"{line!r:.160}")
-            return
+            self._say_unreadable(str(error), f"{text!r:.160}")
+            return False
         self.take(raw)
+        return isinstance(raw, dict) and isinstance(raw.get("endpoints"), list)
+
+    def _sure(self) -> None:
+        """The watch has held for as long as a change may take to come: what the list lacks does not exist."""
+        if self._lost is None:
+            self.courier.map.behind.discard(SOURCE)
+
+    def _say_unreadable(self, why: str, got: str) -> None:
+        if got != self._unreadable:
+            logs.warn("map-unreadable", source=SOURCE, why=why, got=got)
+        self._unreadable = got
+
+
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
+
+
+class Objects:
+    """JSON objects from lines: each on a line of its own, or indented over several; an empty line means nothing new."""
+
+    def __init__(self) -> None:
+        self._parts: list[bytes] = []  # lines of an object that is not complete
+        self._depth = self._size = 0
+
+    def take(self, line: bytes) -> list[bytes]:
+        """What is complete now: objects, empty lines, and what will never be an object, as it is."""
+        text = line.strip()
+        if not text:  # none stands inside an object: what was begun is broken off
+            return [*self._drop(), b""]
+        if len(text) >= PROGRESS and not self._parts and text.startswith(b"{") and text.endswith(b"]}"):
+            return [text]  # the usual long list, not scanned
+        deeper = self._deeper(text)
+        if self._parts and not deeper and line.startswith(b"{") and b'"endpoints"' in line:
+            return [*self._drop(), text]  # a whole object where one was broken off
+        self._parts.append(line)
+        self._depth, self._size = self._depth + deeper, self._size + len(line)
+        if self._size > MOST_LINE:
+            raise parser.BadMessage("object too long")
+        return self._drop() if self._depth <= 0 else []
+
+    def _drop(self) -> list[bytes]:
+        """What there is of an object, and begin anew."""
+        parts, self._parts, self._depth, self._size = self._parts, [], 0, 0
+        return [b"\n".join(parts)] if parts else []
+
+    @staticmethod
+    def _deeper(text: bytes) -> int:
+        bare = _STRING.sub(b"", text)
+        return bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
 
 
 class Lines:
