Cold endpoints: the ramp holds for the sum of the fleet, restarts included

At fault: _budget_opens took the number of those who hold messages back from the time between this courier's first failure and last call: who calls seldom hears late and thought itself alone. A restarted courier knew nothing and let its backlog go. Where the route served, the allowance grew by the calls served within the same span, on itself. Ruled out: that 'one call at least' breaks it (its wait is drawn).

--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -573,6 +573,10 @@
             logs.error("fault", task="module", why=traceback.format_exc())
             actions = [api.Fail(event.message) for event in events
                        if isinstance(event, (api.Arrival, api.AttemptEnded))]
+        for endpoint in {event.endpoint for event in events if isinstance(event, api.AttemptEnded)}:
+            for kin, outage in self._controller.outages(endpoint).items():
+                self.journal.in_outage(kin, None if outage is None else (
+                    outage[0] // NS, None if outage[1] is None else outage[1] // NS))
         for action in actions:
             if isinstance(action, (api.Send, api.Refuse, api.Fail)):
                 desk = self._desks.pop(action.message, None)
@@ -605,11 +609,22 @@
             logs.error(name, **fields)
         for hop in change.idle:
             hop.carrier.close_idle(hop)
-        rows = tuple(replace(row, limit=limit) if (limit := self.journal.limit(row.id)) else row for row in change.rows)
-        self._events.append(api.EndpointList(api.ListKind.DELTA, rows))
+        self._events.append(api.EndpointList(api.ListKind.DELTA, tuple(map(self._recalled, change.rows))))
         # At once, not at the turn's end: a task of this turn may be about to write its first byte.
         self._decide()
 
+    def _recalled(self, row: api.Endpoint) -> api.Endpoint:
+        """The endpoint with what the journal knows of it from before a restart."""
+        limit, outage = self.journal.limit(row.id), self.journal.outage(row.id)
+        if limit:
+            row = replace(row, limit=limit)
+        if outage is not None:
+            since, back = outage
+            # A clock that stepped meanwhile must not make it an outage to come.
+            row = replace(row, down_ns=max(1, (self.loop.now - since) * NS),
+                          back_ns=0 if back is None else (self.loop.now - back) * NS or 1)
+        return row
+
     # The end of the process
 
     def close(self) -> None:
--- a/kestrelspar/journal/read.py
+++ b/kestrelspar/journal/read.py
@@ -14,10 +14,10 @@
 import ujson
 
 from kestrelspar.journal import records
-from kestrelspar.journal.records import ATTEMPT, AWAITS, CLOCK, DONE, ENDED, LIMIT, NOT_RUN, TAKEN, VERDICT
+from kestrelspar.journal.records import ATTEMPT, AWAITS, CLOCK, DONE, ENDED, LIMIT, NOT_RUN, OUTAGE, TAKEN, VERDICT
 
 KINDS = {CLOCK: "clock", TAKEN: "taken", ATTEMPT: "attempt", NOT_RUN: "not-run", VERDICT: "verdict", DONE: "done",
-         ENDED: "ended", AWAITS: "awaits", LIMIT: "limit"}
+         ENDED: "ended", AWAITS: "awaits", LIMIT: "limit", OUTAGE: "outage"}
 
 
 @dataclass(slots=True)
@@ -113,6 +113,8 @@
         until, size = struct.unpack_from("<qI", payload)
         found.ended[payload[12 : 12 + size].decode()] = until, payload[12 + size :].decode()
         return offset
+    if kind == OUTAGE:
+        return offset
     if kind == LIMIT:
         found.limits[payload[records.LIMIT_AT.size :]] = records.LIMIT_AT.unpack_from(payload)[1]
         return offset
--- a/kestrelspar/journal/records.py
+++ b/kestrelspar/journal/records.py
@@ -15,9 +15,11 @@
 HEAD = struct.Struct("<IIBQ")  # bytes of payload, checksum of the rest, kind, number of the message
 ATTEMPT_AT = struct.Struct("<Hq")  # which, and when
 LIMIT_AT = struct.Struct("<qd")  # until when, and calls a second
+OUTAGE_AT = struct.Struct("<qqq")  # known until, since when, on its way back since
 MOST_PAYLOAD = 96 * 1024
 CLOCK, TAKEN, ATTEMPT, NOT_RUN, VERDICT, DONE, ENDED, AWAITS, LIMIT, LEFT = range(1, 11)  # LEFT: in files of its own, left.py
-KNOWN = range(CLOCK, LEFT + 1)
+OUTAGE = 11
+KNOWN = range(CLOCK, OUTAGE + 1)
 
 
 @dataclass(slots=True)
@@ -85,6 +87,12 @@
     return record(LIMIT, 0, LIMIT_AT.pack(until, rate) + endpoint)
 
 
+def outage_record(endpoint: bytes, until: int, since: int, back: int) -> bytes:
+    """An endpoint's outage, in Unix time (8 bytes each): known until, since when, and on its way back since when, 0 where it
+    is not; all 0 where it serves again. Then its id."""
+    return record(OUTAGE, 0, OUTAGE_AT.pack(until, since, back) + endpoint)
+
+
 def record(kind: int, number: int, payload: bytes) -> bytes:
     """A whole record."""
     rest = struct.pack("<BQ", kind, number) + payload
--- a/kestrelspar/journal/store.py
+++ b/kestrelspar/journal/store.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 from kestrelspar.journal import records
-from kestrelspar.journal.records import ATTEMPT, AWAITS, CLOCK, DONE, ENDED, LIMIT, NOT_RUN, TAKEN, VERDICT, Entry
+from kestrelspar.journal.records import ATTEMPT, AWAITS, CLOCK, DONE, ENDED, LIMIT, NOT_RUN, OUTAGE, TAKEN, VERDICT, Entry
 from kestrelspar.runtime import logs
 
 BLOCK = 512
@@ -41,6 +41,7 @@
         self._weights: dict[int, int] = {}
         self._ended: dict[str, tuple[int, str]] = {}  # by name: until when (Unix time, microseconds), and what
         self._limits: dict[bytes, tuple[int, float]] = {}  # by endpoint: until when (as above), calls a second
+        self._outages: dict[bytes, tuple[int, int, int]] = {}  # by endpoint: until when, since, back since (as above)
         self._ended_live = 0  # bytes of these in a fresh file
         self._size = 0
         self._offset = time.time_ns() // 1000 - time.monotonic_ns() // 1000
@@ -85,6 +86,9 @@
             until, rate = records.LIMIT_AT.unpack_from(payload)
             self._keep_limit(payload[records.LIMIT_AT.size :], until, rate)
             return shift
+        if kind == OUTAGE:
+            self._keep_outage(payload[records.OUTAGE_AT.size :], *records.OUTAGE_AT.unpack_from(payload))
+            return shift
         if kind == CLOCK:
             step = struct.unpack("<q", payload)[0] - self._offset
             return step if abs(step) >= SHIFT_LEAST else 0
@@ -168,6 +172,42 @@
         until, rate = self._limits.get(endpoint, (0, 0.0))
         return rate if until > time.time_ns() // 1000 else 0.0
 
+    def in_outage(self, endpoint: bytes, outage: tuple[int, int | None] | None) -> None:
+        """An endpoint is in an outage, or on its way back, since these times of our clock, or serves again.
+
+        Known for a while, restarts included, if there is room; written only where it changed.
+        """
+        known = self._outages.get(endpoint)
+        if outage is None:
+            told = (0, 0, 0)
+        else:
+            since, back = outage[0] + self._offset, 0 if outage[1] is None else outage[1] + self._offset
+            told = (max(since, back, time.time_ns() // 1000) + LIMIT_FOR, since, back)
+        if told[1:] == (known or (0, 0, 0))[1:]:
+            return
+        record = records.outage_record(endpoint, *told)
+        if len(record) < BLOCK and self._fits(len(record)) and self._append(record):
+            self._keep_outage(endpoint, *told)
+
+    def _keep_outage(self, endpoint: bytes, until: int, since: int, back: int) -> None:
+        if endpoint in self._outages:
+            self._forget_outage(endpoint)
+        elif len(self._outages) >= MOST_LIMITS:
+            self._forget_outage(next(iter(self._outages)))
+        if since:
+            self._outages[endpoint] = until, since, back
+            self._live += len(records.outage_record(endpoint, until, since, back))
+
+    def _forget_outage(self, endpoint: bytes) -> None:
+        self._live -= len(records.outage_record(endpoint, *self._outages.pop(endpoint)))
+
+    def outage(self, endpoint: bytes) -> tuple[int, int | None] | None:
+        """What is known of an endpoint's outage, in times of our clock; nothing where it serves, as far as is known."""
+        until, since, back = self._outages.get(endpoint, (0, 0, 0))
+        if until <= time.time_ns() // 1000:
+            return None
+        return since - self._offset, back - self._offset if back else None
+
     def _drop(self, number: int) -> None:
         if self.entries.pop(number, None) is not None:
             self._live -= self._weights.pop(number)
@@ -188,9 +228,12 @@
             self._forget(name)
         for endpoint in [endpoint for endpoint, (until, _) in self._limits.items() if until <= now]:
             self._forget_limit(endpoint)
+        for endpoint in [endpoint for endpoint, (until, _, _) in self._outages.items() if until <= now]:
+            self._forget_outage(endpoint)
         data = self._clock() + b"".join(entry.records() for entry in self.entries.values())
         data += b"".join(records.ended_record(name, until, text) for name, (until, text) in self._ended.items())
         data += b"".join(records.limit_record(endpoint, *told) for endpoint, told in self._limits.items())
+        data += b"".join(records.outage_record(endpoint, *told) for endpoint, told in self._outages.items())
         if _blocks(self._size) + _blocks(len(data)) > self._limit:
             return False
         file = -1
--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -42,6 +42,7 @@
 UNTOUCHED = 0.85  # refused with this share of the reported allowance left: shut; with less: above the limit
 REST_FIRST = 200 * MS  # least gap after a refusal
 COLD_CAUTION = 0.7  # part of the fail-back budget that is used: other forwarders guess too
+COLD_GROWTH = 1.5  # times its part, where the route serves that: all may find so, and the sum must hold
 RATE_UNKNOWN = 1.0  # a call a second, for want of any evidence: small routes are pushed over first
 ROUGH_RATE = 0.67  # a rough rate may be half too high
 BURST = 500 * MS  # calls of this long at the limit's pace may go at once
@@ -127,6 +128,7 @@
         self.stale = self.fresh_lost = 0.0  # share of calls lost on idle connections, and on new ones
         self.stale_at, self.stale_from = 0, NEVER  # when last learnt; the shortest idle time that lost one
         self.shut_after = int(SHUT_PART * settings.fall_ns)
+        self.longest = max(cls.deadline_ns for cls in settings.classes)  # what a message may be held back
         self.ask_at, self.asks = 0 if settings.must_subscribe else NEVER, 0  # for the list; in vain so far
         self.actions: list[api.Action] = []
 
@@ -232,6 +234,8 @@
                 dest.limit = limit = Limit() if dest.apart or dest.limit is None else dest.limit
                 known = self.routes[entry.id] = Route(entry, dest, self.random.expovariate(1.0), limit)
                 fresh.append((known, entry.limit if RATE_UNKNOWN <= entry.limit < 1e6 else 0.0))
+                if entry.down_ns:
+                    self._was_down(known, entry)
             known.rate = min(max(0.1, entry.rate), 1e6)  # absent, absurd or not a number: little is sent
             known.ready, known.zone, known.rank = True, entry.zone, entry.rank
             known.patience, known.fails = entry.patience_ns or NEVER, entry.fails or NEVER
@@ -251,6 +255,23 @@
             if not route.dest.apart and route.dest.sick_at > since:
                 self._mark_down(route, "joins a destination in trouble")
 
+    def _was_down(self, route: Route, entry: api.Endpoint) -> None:
+        """It was in an outage, or on its way back, when this forwarder ended; others hold messages for it.
+
+        Guards against restarted ones that know nothing, have a backlog, and all call a cold route at once.
+        """
+        back = self.now - entry.back_ns
+        if entry.back_ns and back + self.s.ramp_ns <= self.now:
+            return
+        route.down, route.since, route.back = True, self.now - entry.down_ns, back if entry.back_ns else None
+        route.limit.sends, route.limit.spread = [self.now], self.random.random()
+
+    def outages(self, endpoint: api.EndpointId) -> dict[api.EndpointId, tuple[int, int | None] | None]:
+        """Since when its destination's routes are in an outage, and on their way back; none: it serves."""
+        route = self.routes.get(endpoint)
+        routes = route.dest.routes if route is not None else ()
+        return {kin.id: (kin.since, kin.back) if kin.down else None for kin in routes}
+
     def _shared(self, event: api.Parts) -> None:
         """Forwarders share limits and tenants' shares: how much is this one's. No more turns and guesses."""
         self.tenant_part.update(event.tenants)
@@ -441,7 +462,8 @@
 
         Outages end unannounced and the route comes back cold. In any fall_ns this forwarder sends its part of
         what a cold route bears, or a multiple of what the route just served it. Its part: as many others may
-        hold messages back as calls came since the trouble began. Harm: a burst after a failure is slowed.
+        hold messages back as calls came since the trouble began, which is when it last served here or later:
+        who calls seldom hears late of it, and a message is held to its deadline. Harm: slower recovery.
         """
         share = self.s.cold_from
         if route.back is not None:
@@ -449,18 +471,21 @@
         rate, window = self._rate(route), self.s.fall_ns
         aware = 2.0
         if route.down:
-            known = max(route.last_send, route.wait_until) - route.since
+            known = min(self.longest, (self.now if route.back is None else route.back) - route.since)
             aware += rate * (max(0, known) + window) / SECOND
         if self.s.rate_hint is api.RateHint.ROUGH and not route.limit.rate:
             rate *= ROUGH_RATE
         allowed = share * rate * window / SECOND / min(self.s.forwarders, aware)
         limit = route.limit
         self._prune(limit.served)
-        allowed = max(allowed, float(len(limit.served))) * COLD_CAUTION * self.s.tip_multiple
+        served = float(len(limit.served))
+        if route.down:  # in one span it must not grow on itself
+            served = min(served, max(1.0, COLD_GROWTH * allowed))
+        allowed = max(allowed, served) * COLD_CAUTION * self.s.tip_multiple
         count = max(1, int(allowed))
         if len(limit.sends) < count:
             return 0
-        # Spread: those whom one clump of messages told would come back in the same instant.
+        # Spread: those whom one clump of messages told, or one restart, would come back in the same instant.
         return limit.sends[-count] + (window if allowed >= 1 else int(window / allowed * limit.spread))
 
     def _rate(self, route: Route) -> float:
@@ -737,7 +762,7 @@
             if shut and (unused >= UNTOUCHED or rest >= 3 * self.shut_after):  # longer than a limit's span
                 route.dest.sick_at = self.now
                 for kin in [route] if route.dest.apart else [route, *route.dest.routes]:
-                    kin.since = kin.since or limit.full_since
+                    kin.since = kin.since or max(kin.last_ok, self.now - self.longest)
                     self._mark_down(kin, "refuses all")
                     if rest:
                         kin.back = self.now + rest  # it comes back cold then, and all that were told know it
@@ -783,7 +808,7 @@
         route.timed_out = outcome is Outcome.TIMEOUT
         route.dest.bad += 1
         route.dest.sick_at = self.now
-        route.since = route.since or self.now
+        route.since = route.since or max(route.last_ok, self.now - self.longest)
         # Where this forwarder calls rarely, one failure must do, unless chance explains it.
         seldom = route.last_ok < sent - self.s.fall_ns
         # Routes of a destination mostly fail together.
--- a/snowlock/interface.py
+++ b/snowlock/interface.py
@@ -153,6 +153,8 @@
     patience_ns: int = 0  # bound on an attempt's time-out
     fails: int = 0  # failures in a row that make an outage
     limit: float = 0.0  # calls a second that it told this forwarder before a restart; 0: nothing known
+    down_ns: int = 0  # for how long it had been in an outage that this forwarder knew of before a restart; 0: none
+    back_ns: int = 0  # and on its way back from it; 0: not yet; below 0: it will be then
 
 
 class EndpointList(Struct, frozen=True):
--- a/tests/http/test_told.py
+++ b/tests/http/test_told.py
@@ -50,9 +50,7 @@
             now += CONNECT
         elif way == "no answer":
             now += CONNECT + ANSWER  # the connection came up at its last moment
-        elif way == "503":
-            now += WAY
-        elif way == "closes":
+        elif way == "503" or way == "closes":
             now += WAY
         elif way == "head and silence":
             now, quiet = now + CONNECT + ANSWER + SILENCE, SILENCE
