A message that is handed in once more under its id is answered as it was, and never sent twice

Seen: a client whose connection was closed over its answer sends the same request once more and was told 409, a final no, while the message was open or delivered (PROTOCOL: answered as delivered once more). Ids were known for a fixed 15 s, where messages live up to 28. At fault: Courier._door (Reason.DUPLICATE for each known id), KNOWN_FOR, and the pop of an id that had been handed in again since. Now: the same message (class, destination, key, body) is answered 202 while it is open or after it was delivered; after it was returned or went unheard it is taken on anew; after it failed, or where it is another one, 409 as before. Known for the longest deadline or window. Ruled out: a second copy out (tests count calls); ended ids over a restart are not kept, see crossings.

--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -8,6 +8,7 @@
 
 import time
 import traceback
+import zlib
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -34,7 +35,6 @@
 COME_BACK = 1_000 * MS  # to a client deferred at the door
 OVERDUE = 1_000 * MS  # before a deadline: an outcome that has not come is asked for, and the message ends
 BUDGET_WITHIN = 500 * MS  # a call that the budget has no room for waits so long at most, then it is chosen anew
-KNOWN_FOR = 15 * SECOND  # an ended message's id is not taken on again for so long
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.REJECTED)
 
 DELIVERED, FAILED, RETURNED = "delivered", "failed", "returned"
@@ -59,6 +59,15 @@
     start: int = 0  # nothing is sent before this time; the deadline counts from it
 
 
+@dataclass(frozen=True, slots=True)
+class Past:
+    """What is known of an ended message for a while: until when, its end (empty: none that was told), what it was."""
+
+    until: int
+    state: str
+    was: tuple[int, int, int]
+
+
 class Reason(Enum):
     """Why a message is not taken on."""
 
@@ -182,6 +191,11 @@
         """See its end."""
 
 
+def _was(message: Message) -> tuple[int, int, int]:
+    """What a message is, as far as a copy of it under the same id must be the same."""
+    return message.cls, message.dest, zlib.crc32(message.body, zlib.crc32(message.key.encode()))
+
+
 class Courier:
     """Owns the open messages, the transport map, the journal and the module."""
 
@@ -203,8 +217,10 @@
         self._events: list[api.Event] = []
         self._desks: dict[int, Parking] = {}  # messages whose task waits for the module's next word
         self.open: dict[int, Message] = {}
-        self._known: dict[str, Message | None] = {}  # by id: open messages, and for a while ended ones (None)
-        self._ended: deque[tuple[int, str]] = deque()  # the latter, and since when
+        self._known: dict[str, Message | Past] = {}  # by id: open messages, and for a while ended ones
+        self._ended: deque[tuple[int, str]] = deque()  # the latter, and until when
+        # A copy of a request may come for as long as any message lives, and may run for as long as a window lasts.
+        self._known_for = max(max(c.deadline_ns, c.window_ns) for c in settings.classes) // NS
         self.out = 0  # delivery attempts under way
         self._last = max(journal.entries, default=0)
         loop.at_turn_end.append(self._decide)
@@ -236,7 +252,7 @@
         self.open[message.number] = message
         self._known[message.trace] = message
         if not answer(TAKEN_ON):  # it went away unanswered and may hand it in elsewhere: not ours
-            self._over(message)
+            self._over(message, RETURNED)
             return False
         if self.peers is not None:
             self.peers.came(message)
@@ -294,7 +310,7 @@
                     self._await(message, *result.later)
                 return
             if result.closed:
-                self._over(message)
+                self._over(message, FAILED)
                 return
         if word is _WITHDRAW:
             self._end(message, End(WITHDRAWN))
@@ -428,23 +444,40 @@
         if self.peers is not None:
             self.peers.ended(message, end)
         message.sender.settle(message, end)
-        self._over(message)
+        self._over(message, end.state)
 
-    def _over(self, message: Message) -> None:
+    def _over(self, message: Message, state: str = "") -> None:
         """Nothing is owed for it any more."""
         self.open.pop(message.number, None)
-        self._ended.append((self.loop.now, message.trace))
-        self._known[message.trace] = None
+        until = self.loop.now + self._known_for
+        self._ended.append((until, message.trace))
+        self._known[message.trace] = Past(until, state, _was(message))
         self.journal.done(message.number)
 
+    def _second(self, message: Message, before: Message | Past) -> Answer | None:
+        """The answer to an id that is known; nothing if it is to be taken on.
+
+        The same message once more, as after a close that crossed it, is answered as it was at first: it is owed its one
+        end, or was delivered. Never is it sent as a second copy. What was returned may be handed in again.
+        """
+        if (before.was if isinstance(before, Past) else _was(before)) != _was(message):
+            return Answer(False, False, Reason.DUPLICATE)
+        if isinstance(before, Message) or before.state == DELIVERED:
+            return TAKEN_ON
+        return None if before.state == RETURNED else Answer(False, False, Reason.DUPLICATE)
+
     def _door(self, message: Message) -> Answer | None:
         """Why the message can't be taken on now, if so."""
         if self.closing is not None:
             return Answer(False, True, Reason.CLOSING)
-        while self._ended and self._ended[0][0] < self.loop.now - KNOWN_FOR:
-            self._known.pop(self._ended.popleft()[1], None)
-        if message.trace in self._known:  # a second message under the id would go out as a second copy
-            return Answer(False, False, Reason.DUPLICATE)
+        while self._ended and self._ended[0][0] < self.loop.now:
+            until, trace = self._ended.popleft()
+            known = self._known.get(trace)
+            if isinstance(known, Past) and known.until == until:  # else it was handed in again since
+                del self._known[trace]
+        before = self._known.get(message.trace)
+        if before is not None and (second := self._second(message, before)) is not None:
+            return second
         for hook in self.hooks:
             verdict = hook.arrival(message)
             if verdict is not None:
@@ -507,7 +540,7 @@
     def _tell_again(self, message: Message, end: End) -> None:
         """The end was decided before the restart and may not have been heard."""
         message.sender.settle(message, end)
-        self._over(message)
+        self._over(message, end.state)
 
     def _from_journal(self, entry: Entry) -> Message:
         text = ujson.loads(entry.text)
@@ -523,7 +556,8 @@
 
     def find(self, trace: str) -> Message | None:
         """The open message of this id."""
-        return self._known.get(trace)
+        known = self._known.get(trace)
+        return known if isinstance(known, Message) else None
 
     def untried(self, message: Message) -> bool:
         """Whether it surely never ran, is not out, and is not about to be."""
