--- a/kestrelspar/journal/store.py
+++ b/kestrelspar/journal/store.py
@@ -23,6 +23,7 @@
 LIMIT_FOR, LIMIT_AGAIN = 60_000_000, 5_000_000  # a limit is known so long, and written again after the latter
 MOST_LIMITS = 256  # endpoints whose limit is kept: those that told it last
 SHIFT_LEAST = 2_000_000  # a smaller step between the clocks of two processes is the wall clock's correction
+SHIFT_BACK = 3_600_000_000  # and so is one that would move times on, up to here: a machine that started anew moves them back
 
 
 def _blocks(size: int) -> int:
@@ -90,8 +91,9 @@
             self._keep_outage(payload[records.OUTAGE_AT.size :], *records.OUTAGE_AT.unpack_from(payload))
             return shift
         if kind == CLOCK:
-            step = struct.unpack("<q", payload)[0] - self._offset
-            return step if abs(step) >= SHIFT_LEAST else 0
+            step = int(struct.unpack("<q", payload)[0]) - self._offset
+            # Guards against a wall clock that was set back: deadlines and windows would end later than they do.
+            return 0 if -SHIFT_LEAST < step < SHIFT_BACK else step
         if kind == TAKEN:
             deadline, size = struct.unpack_from("<qI", payload)
             text = payload[12 : 12 + size].decode()
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -139,6 +139,19 @@
     assert set(opened(tmp_path).entries) == {1, 3}
 
 
+@pytest.mark.parametrize(("stepped", "moved"), [(-60, 0), (-1, 0), (1, 0), (60, -60), (-7200, 7200)])
+def test_a_wall_clock_that_was_set_back_makes_no_deadline_and_no_window_later(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, stepped: int, moved: int) -> None:
+    log, real = opened(tmp_path), time.time_ns
+    log.taken(1, 9_000_000, "{}", b"")
+    log.attempt(1, 0, 8_000_000)
+    monkeypatch.setattr(j.time, "time_ns", lambda: real() + stepped * 10**9)
+    entry = opened(tmp_path).entries[1]
+    assert entry.maybe_since is not None
+    assert abs(entry.deadline - 9_000_000 - moved * 1_000_000) < 100_000
+    assert abs(entry.maybe_since - 8_000_000 - moved * 1_000_000) < 100_000
+
+
 def test_times_of_another_clock_are_moved(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     log = opened(tmp_path)
     log.taken(1, 50_000_000, "{}", b"")
