What a restart finds untried is kept for a try; the guess at who waits for a cold endpoint is eased

Why it was too slow: the time since the route last served kept growing while nothing was called, and the first call moved away with it. Seen by a test: connections that read the rest of a 200 on were bounded by nothing; now by the slots, which the descriptors count. Checked: tests/test_cold, test_fleet, test_past, test_defences, test_rules, tests/http.

--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -281,7 +281,8 @@
         """The end of a message that was kept and is not given to the module."""
         self._end(message, End(state))
 
-    def _see_through(self, message: Message, attempts: int = 0, maybe_since_ns: int | None = None) -> None:
+    def _see_through(self, message: Message, attempts: int = 0, maybe_since_ns: int | None = None,
+                     kept: bool = False) -> None:
         """From the module's first word on it to its end."""
         which = attempts
         if message.start > self.loop.now:
@@ -292,7 +293,7 @@
             self._desks.pop(message.number, None)
         left = max(0, message.deadline - self.loop.now) * NS
         word = self._ask(message.number, api.Arrival(
-            message.number, message.cls, message.dest, left, message.tenant, 0, attempts, maybe_since_ns))
+            message.number, message.cls, message.dest, left, message.tenant, 0, attempts, maybe_since_ns, kept))
         while isinstance(word, api.Send):
             if self.closing is not None and self.loop.now - self.closing > NO_NEW_ATTEMPTS:
                 return  # the journal has it, and the next process goes on
@@ -535,7 +536,7 @@
                     self.loop.spawn(self._end, message, End(FAILED))
                 continue
             since = None if entry.maybe_since is None else entry.maybe_since * NS
-            self.loop.spawn(self._see_through, message, entry.attempts, since)
+            self.loop.spawn(self._see_through, message, entry.attempts, since, True)
 
     def _tell_again(self, message: Message, end: End) -> None:
         """The end was decided before the restart and may not have been heard."""
--- a/kestrelspar/http/nexthop.py
+++ b/kestrelspar/http/nexthop.py
@@ -73,6 +73,7 @@
         self.opened = self.reused = 0
         self._idle: dict[tuple[bytes, tuple[str, int]], list[tuple[Stream, int]]] = {}
         self._most_idle = most_idle
+        self._reading_out = 0  # connections that still read the rest of a 200; as many as there are slots at most
         self._idle_span = int(settings.idle_ns // 1000 * IDLE_PART)
         loop.spawn(self._reap)
 
@@ -153,15 +154,23 @@
             stream.close()
             return Result(Outcome.OK)
         if answer is None:
-            self.loop.spawn(self._read_out, hop, stream, deadline)
+            self._read_on(hop, stream, deadline)
             return Result(Outcome.OK)
         if length is not None and 0 <= length <= len(stream.unread) - answer.size:
             stream.consume(answer.size + length)
             self._finish(hop, stream, answer)
         else:
-            self.loop.spawn(self._read_out, hop, stream, deadline)
+            self._read_on(hop, stream, deadline)
         return meaning(200, answer.headers, self.settings.columns)
 
+    def _read_on(self, hop: NextHop, stream: Stream, deadline: int) -> None:
+        """Guards against descriptors held by many answers that trickle: their calls hold no slot any more."""
+        if self._reading_out >= self.settings.slots:
+            stream.close()
+            return
+        self._reading_out += 1
+        self.loop.spawn(self._read_out, hop, stream, deadline)
+
     def _read_out(self, hop: NextHop, stream: Stream, deadline: int) -> None:
         """The rest of a 200 means nothing, but has to be read before the connection can be used again."""
         try:
@@ -170,6 +179,8 @@
         except (Closed, Late, parser.BadMessage):
             stream.close()
             return
+        finally:
+            self._reading_out -= 1
         self._finish(hop, stream, answer)
 
     def _finish(self, hop: NextHop, stream: Stream, answer: parser.Head) -> None:
--- a/kestrelspar/serve.py
+++ b/kestrelspar/serve.py
@@ -230,8 +230,9 @@
     notices = Notices(loop, buffers, told.discovery)
     courier.senders[notices.name] = notices
     courier.unfinished.append(notices.owed)
-    # Descriptors: idle connections to next hops, calls out, and for discovery, notices, listeners and files.
-    kept = told.sockets // 4 + told.settings.slots + max(32, told.sockets // 16)
+    # Descriptors: idle connections to next hops, calls out and answers read on, and for discovery, notices, listeners
+    # and files.
+    kept = told.sockets // 4 + 2 * told.settings.slots + max(32, told.sockets // 16)
     if all_told.maps:
         kept += told.sockets // 8
         own = NextHops(loop, buffers, told.settings, told.sockets // 8)  # to next hops of the operators' own
--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -42,6 +42,7 @@
 UNTOUCHED = 0.85  # refused with this share of the reported allowance left: shut; with less: above the limit
 REST_FIRST = 200 * MS  # least gap after a refusal
 COLD_CAUTION = 0.7  # part of the fail-back budget that is used: other forwarders guess too
+HEARD_LATE = 2  # spans of fall_ns by which others may have heard of an outage before this one
 COLD_GROWTH = 1.5  # times its part, where the route serves that: all may find so, and the sum must hold
 RATE_UNKNOWN = 1.0  # a call a second, for want of any evidence: small routes are pushed over first
 ROUGH_RATE = 0.67  # a rough rate may be half too high
@@ -128,7 +129,6 @@
         self.stale = self.fresh_lost = 0.0  # share of calls lost on idle connections, and on new ones
         self.stale_at, self.stale_from = 0, NEVER  # when last learnt; the shortest idle time that lost one
         self.shut_after = int(SHUT_PART * settings.fall_ns)
-        self.longest = max(cls.deadline_ns for cls in settings.classes)  # what a message may be held back
         self.ask_at, self.asks = 0 if settings.must_subscribe else NEVER, 0  # for the list; in vain so far
         self.actions: list[api.Action] = []
 
@@ -200,7 +200,7 @@
             if len(self.messages) <= HOLD_PART * self.s.max_open or not self.waiting:
                 return
             dest = max(self.waiting.values(), key=lambda d: len(d.queue) * (d.mean or self._pace()))
-            if not (able := [m for m in dest.queue if self._may_refuse(m)]):
+            if not (able := [m for m in dest.queue if self._may_refuse(m) and not self._still_owed(m)]):
                 return
             self._give_up(min(able, key=lambda m: self._worth(m, self.now)))
 
@@ -264,6 +264,7 @@
         if entry.back_ns and back + self.s.ramp_ns <= self.now:
             return
         route.down, route.since, route.back = True, self.now - entry.down_ns, back if entry.back_ns else None
+        route.last_send = self.now
         route.limit.sends, route.limit.spread = [self.now], self.random.random()
 
     def outages(self, endpoint: api.EndpointId) -> dict[api.EndpointId, tuple[int, int | None] | None]:
@@ -358,6 +359,10 @@
         repeatable = message.cls.safety is Safety.KEYED and not message.cls.zone_bound
         return message.cls.safety is Safety.SAFE or not message.out and (not message.maybe or repeatable)
 
+    def _still_owed(self, message: Message) -> bool:
+        """Held since before a restart, untried, with time left: not given up for others, nor on a guess."""
+        return message.attempts == 0 and self.now < message.kept_until
+
     def _give_up(self, message: Message) -> None:
         """The final answer for a message that is not going to be delivered in time."""
         if self._may_refuse(message):
@@ -462,17 +467,16 @@
 
         Outages end unannounced and the route comes back cold. In any fall_ns this forwarder sends its part of
         what a cold route bears, or a multiple of what the route just served it. Its part: as many others may
-        hold messages back as calls came since the trouble began, which is when it last served here or later:
-        who calls seldom hears late of it, and a message is held to its deadline. Harm: slower recovery.
+        hold messages back as calls came since the trouble began. Harm: a burst after a failure is slowed.
         """
         share = self.s.cold_from
         if route.back is not None:
             share += (1 - share) * min(1.0, max(0, self.now - route.back) / self.s.ramp_ns)
         rate, window = self._rate(route), self.s.fall_ns
         aware = 2.0
-        if route.down:
-            known = min(self.longest, (self.now if route.back is None else route.back) - route.since)
-            aware += rate * (max(0, known) + window) / SECOND
+        if route.down:  # who calls seldom hears of it late: it began spans before the first failure here
+            known = max(route.last_send, route.wait_until) - route.since
+            aware += rate * (max(0, known) + HEARD_LATE * window) / SECOND
         if self.s.rate_hint is api.RateHint.ROUGH and not route.limit.rate:
             rate *= ROUGH_RATE
         allowed = share * rate * window / SECOND / min(self.s.forwarders, aware)
@@ -540,7 +544,8 @@
             if soonest > self.now:
                 # What none may have in time gets its final answer at once: another forwarder may deliver it.
                 late = [m for m in queue[place:] if self.now >= m.window_end
-                        or dest.routes and soonest > m.deadline and self._may_refuse(m)]
+                        or dest.routes and soonest > m.deadline and self._may_refuse(m)
+                        and not self._still_owed(m)]
                 kept += [m for m in queue[place:] if m not in late] if late else queue[place:]
                 hopeless += late
                 wake = min(wake, soonest)
@@ -762,7 +767,7 @@
             if shut and (unused >= UNTOUCHED or rest >= 3 * self.shut_after):  # longer than a limit's span
                 route.dest.sick_at = self.now
                 for kin in [route] if route.dest.apart else [route, *route.dest.routes]:
-                    kin.since = kin.since or max(kin.last_ok, self.now - self.longest)
+                    kin.since = kin.since or limit.full_since
                     self._mark_down(kin, "refuses all")
                     if rest:
                         kin.back = self.now + rest  # it comes back cold then, and all that were told know it
@@ -808,7 +813,7 @@
         route.timed_out = outcome is Outcome.TIMEOUT
         route.dest.bad += 1
         route.dest.sick_at = self.now
-        route.since = route.since or max(route.last_ok, self.now - self.longest)
+        route.since = route.since or self.now
         # Where this forwarder calls rarely, one failure must do, unless chance explains it.
         seldom = route.last_ok < sent - self.s.fall_ns
         # Routes of a destination mostly fail together.
--- a/snowlock/interface.py
+++ b/snowlock/interface.py
@@ -178,6 +178,7 @@
     key: int = 0
     attempts: int = 0  # made so far
     maybe_since_ns: int | None = None  # when the first attempt left that may have run
+    kept: bool = False  # it was held before a restart
 
 
 class AttemptEnded(Struct, frozen=True):
--- a/snowlock/state.py
+++ b/snowlock/state.py
@@ -12,6 +12,7 @@
     from snowlock.control import Limit
 
 NEVER = 1 << 62
+KEPT_PART = 0.7  # of its time: so long what a restart finds untried is kept for a try
 NO_CLASSES = dict[int, tuple[int, bool]]()  # of those never called: not to be filled
 
 
@@ -34,6 +35,7 @@
         self.deadline = now + event.time_left_ns
         self.full_until = self.deadline - cls.deadline_ns + cls.aim_ns  # worth all until then
         self.late = self.deadline - slack  # its last moment to be answered, as batches come only each tick
+        self.kept_until = now + int(KEPT_PART * event.time_left_ns) if event.kept else 0
         self.at: Route | None = None
         self.tries = self.attempts = self.waits = self.passes = self.not_before = 0
         self.out: dict[int, Call] = {}
--- a/tests/test_past.py
+++ b/tests/test_past.py
@@ -4,7 +4,17 @@
 
 import pytest
 
-from snowlock.interface import Arrival, EndpointState, Fail, Outcome, Refuse, Safety
+from snowlock.interface import (
+    Arrival,
+    Endpoint,
+    EndpointList,
+    EndpointState,
+    Fail,
+    ListKind,
+    Outcome,
+    Refuse,
+    Safety,
+)
 from tests.forwarder import MS, SECOND, Forwarder, message_class, route, settings
 
 
@@ -83,3 +93,29 @@
     f.outcome(1, Outcome.TIMEOUT)
     f.wait(SECOND)
     assert f.attempts[1] == 2 and f.controller.may_still_go(begun + after, route("a"), 1) is goes
+
+
+def test_what_a_restart_finds_untried_is_not_given_up_for_others() -> None:
+    # Guards against a restart that sheds what it took on before: all of it comes in one turn, and more after it.
+    f = Forwarder(settings(message_class(), slots=2, max_open=20, max_retry_after_ns=3 * SECOND))
+    f.endpoints("a", rate=1000.0)
+    f.feed(*(Arrival(number, 0, 1, 10 * SECOND, kept=True) for number in range(25)))
+    for number in range(100, 130):
+        f.arrive(number)
+    f.wait(6 * SECOND)
+    assert not [number for number in f.ended if number < 25] and len(f.ended) >= 20
+    f.wait(2 * SECOND)
+    f.arrive(500)
+    assert [number for number in f.ended if number < 25]  # in its last part it may make room
+
+
+def test_what_a_restart_finds_untried_is_not_given_up_on_a_guess() -> None:
+    given = settings(message_class(), slots=20, forwarders=200, share_left_column=0, limit_column=1)
+    for kept in (False, True):
+        f = Forwarder(given)
+        f.feed(EndpointList(ListKind.DELTA, (Endpoint(route("a"), 1, limit=2.0),)))  # an even share: a call in 100 s
+        f.feed(*(Arrival(number, 0, 1, 10 * SECOND, kept=kept) for number in range(8)))
+        f.wait(5 * SECOND)
+        assert len(f.ended) == (0 if kept else 8)
+        f.wait(6 * SECOND)
+        assert len(f.ended) == 8
