All faults of the platform's JSON are told at once; descriptors are shared out in one place

Seen: a configuration with ten faults was refused ten times, one line each (settings.Section raised at the first). Now they are gathered and told as one line each, exit code 2.

--- a/kestrelspar/serve.py
+++ b/kestrelspar/serve.py
@@ -29,6 +29,7 @@
 from kestrelspar.settings import platform, resolve, schema
 from kestrelspar.settings.lines import ConfFaults
 from snowlock import interface as api
+from snowlock.settings import SettingsError
 
 if TYPE_CHECKING:
     from kestrelspar.keys import Keys  # with ssl: only where it is wanted
@@ -36,6 +37,7 @@
     from kestrelspar.registry.follower import Follower
 
 BUFFERS_PART = 8  # of the memory, one in so many bytes goes to read buffers at most
+LEAST_CLIENTS = 8  # connections of clients, however few descriptors there are
 MOST_KEPT = 0.5  # of the disk, for kept lists; the rest is the journal's
 LIST_WITHIN, LIST_LOOK = 200 * MS, 2 * MS  # a start waits so long for the list; it is looked for so often
 LATER = ("name", "listen", "state", "sockets", "memory", "disk_bytes", "settings")  # read at the start only
@@ -123,7 +125,7 @@
 
 def refuse(error: ValueError) -> int:
     """Log each fault of the configuration; the exit code."""
-    faults = [str(fault) for fault in error.faults] if isinstance(error, ConfFaults) else [str(error)]
+    faults = list(map(str, error.faults)) if isinstance(error, ConfFaults | SettingsError) else [str(error)]
     for fault in faults:
         logs.error("configuration", why=fault)
     return 2
@@ -176,7 +178,7 @@
             told.keys.again(conf)
             followed = told.keys.secured(followed)
     except ValueError as error:
-        faults = error.faults if isinstance(error, ConfFaults) else [error]
+        faults = error.faults if isinstance(error, ConfFaults | SettingsError) else [error]
         for fault in faults:
             logs.error("configuration-not-taken", why=str(fault))
         return
@@ -203,6 +205,17 @@
     return most, min(most // 2, settings.slots + 16)
 
 
+def shares(sockets: int, slots: int) -> tuple[int, int]:
+    """Descriptors for clients' connections, and for idle ones to next hops.
+
+    The rest is for calls out and answers read on, discovery, notices, listeners and files: clients that fill theirs
+    must not keep the courier from these.
+    """
+    rest = sockets - 2 * slots - max(16, min(32, sockets // 4), sockets // 16)
+    idle = max(4, min(sockets // 4, rest // 2))
+    return max(LEAST_CLIENTS, rest - idle), idle
+
+
 def main(environment: Mapping[str, str] = os.environ) -> int:
     """Serve; exit code 0 after SIGTERM, 2 for a configuration or an address that will not do."""
     ear = _ear()
@@ -226,13 +239,12 @@
         logs.error("can't-start", why=str(error))
         return 2
     courier = Courier(loop, told.settings, told.seed, journal)
-    carrier = NextHops(loop, buffers, told.settings, told.sockets // 4)
+    clients, idle = shares(told.sockets, told.settings.slots)
+    carrier = NextHops(loop, buffers, told.settings, idle)
     notices = Notices(loop, buffers, told.discovery)
     courier.senders[notices.name] = notices
     courier.unfinished.append(notices.owed)
-    # Descriptors: idle connections to next hops, calls out and answers read on, and for discovery, notices, listeners
-    # and files.
-    kept = told.sockets // 4 + 2 * told.settings.slots + max(32, told.sockets // 16)
+    kept = told.sockets - clients
     if all_told.maps:
         kept += told.sockets // 8
         own = NextHops(loop, buffers, told.settings, told.sockets // 8)  # to next hops of the operators' own
@@ -260,7 +272,7 @@
         fronts.append(link.start)
     registries = Registries(loop, buffers, courier, all_told)
     kept += registries.descriptors
-    server = SenderServer(loop, buffers, courier, notices, max(16, told.sockets - kept))
+    server = SenderServer(loop, buffers, courier, notices, max(LEAST_CLIENTS, told.sockets - kept))
     watch = Watch(loop, buffers, courier, carrier, told.discovery, told.seed, told.state)
     loop.spawn(_heed, loop, ear, {
         signal.SIGTERM: courier.close, signal.SIGINT: courier.close,
--- a/kestrelspar/settings/platform.py
+++ b/kestrelspar/settings/platform.py
@@ -97,7 +97,7 @@
             raw[key] = environment[variable]
     top = Section(raw, "config")
     limits = top.section("limits", optional=True)
-    return Config(
+    config = Config(
         name=top.get("name", str, "courier"),
         listen=top.get("listen", address),
         discovery=top.get("discovery", address),
@@ -107,8 +107,14 @@
         memory=int(limits.get("memory_mb", positive, 64.0) * 1_000_000),
         disk_bytes=int(limits.get("disk_mb", positive, 3.0) * 1_000_000),
         known=top.get("known", _object, {}),
-        settings=settings.read(top.get("settings", _object)),
+        settings=top.get("settings", _settings),
     )
+    top.raise_faults()
+    return config
+
+
+def _settings(value: Any) -> api.Settings:
+    return settings.read(_object(value))
 
 
 def _object_or_error(value: Any) -> dict[str, Any]:
--- a/snowlock/settings.py
+++ b/snowlock/settings.py
@@ -15,40 +15,61 @@
 
 
 class SettingsError(ValueError):
-    """A key is missing or holds what it can't; the text names it."""
+    """Keys are missing or hold what they can't; each of the ``faults`` names one."""
+
+    def __init__(self, *faults: str) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
 
 
 class Section:
-    """An object of parsed JSON that knows its own place, so that errors can name it."""
+    """An object of parsed JSON that knows its own place, so that errors can name it.
+
+    Faults are gathered, so that all are told at once: ``raise_faults`` after the last key. What has one reads as its
+    default, or as nothing.
+    """
 
-    def __init__(self, raw: Any, path: str) -> None:
-        if not isinstance(raw, dict):
-            raise SettingsError(f"{path}: an object is needed")
-        self.raw, self.path = raw, path
+    def __init__(self, raw: Any, path: str, faults: list[str] | None = None) -> None:
+        self.path, self.faults = path, [] if faults is None else faults
+        self.whole = isinstance(raw, dict)  # else none of its keys is told as missing
+        self.raw: dict[str, Any] = raw if isinstance(raw, dict) else {}
+        if not self.whole:
+            self.faults.append(f"{path}: an object is needed")
+
+    def raise_faults(self) -> None:
+        """``SettingsError`` with all that was found so far."""
+        if self.faults:
+            raise SettingsError(*self.faults)
 
     def get(self, key: str, kind: Callable[[Any], T], default: Any = _NEEDED) -> T:
         """The key's value as this kind, or the default where the key is absent."""
+        value: Any = None if default is _NEEDED else default
         if key not in self.raw:
-            if default is _NEEDED:
-                raise SettingsError(f"{self.path}.{key}: missing")
-            return default  # type: ignore[no-any-return]
+            if default is _NEEDED and self.whole:
+                self.faults.append(f"{self.path}.{key}: missing")
+            return value  # type: ignore[no-any-return]
         try:
             return kind(self.raw[key])
-        except SettingsError:
-            raise
-        except (ValueError, TypeError, KeyError, OverflowError) as error:
-            raise SettingsError(f"{self.path}.{key}: {self.raw[key]!r:.60} will not do") from error
+        except SettingsError as error:
+            self.faults += error.faults
+        except (ValueError, TypeError, KeyError, OverflowError):
+            self.faults.append(f"{self.path}.{key}: {self.raw[key]!r:.60} will not do")
+        return value  # type: ignore[no-any-return]
 
     def section(self, key: str, optional: bool = False) -> Section:
         """The object under the key; an empty one where it is optional and absent."""
-        if key not in self.raw and not optional:
-            raise SettingsError(f"{self.path}.{key}: missing")
-        return Section(self.raw.get(key, {}), f"{self.path}.{key}")
+        if key not in self.raw:
+            if self.whole and not optional:
+                self.faults.append(f"{self.path}.{key}: missing")
+            absent = Section({}, f"{self.path}.{key}", self.faults)
+            absent.whole = optional
+            return absent
+        return Section(self.raw[key], f"{self.path}.{key}", self.faults)
 
     def sections(self, key: str, optional: bool = True) -> list[Section]:
         """The objects in the list under the key."""
-        rows = self.get(key, _rows, [] if optional else _NEEDED)
-        return [Section(row, f"{self.path}.{key}[{place}]") for place, row in enumerate(rows)]
+        rows = self.get(key, _rows, [] if optional else _NEEDED) or []
+        return [Section(row, f"{self.path}.{key}[{place}]", self.faults) for place, row in enumerate(rows)]
 
 
 def _rows(value: Any) -> list[Any]:
@@ -82,7 +103,7 @@
     report = top.section("load_report", optional=True)
     columns = report.get("columns", _each(str), ()) if report.get("how", str, "") == "inline" else ()
     place = {name: index for index, name in enumerate(columns)}
-    return api.Settings(
+    values: dict[str, Any] = dict(
         classes=classes,
         slots=family.get("workers", int),
         routes_apart=family.get("routes_apart", _each(bool), ()),
@@ -117,3 +138,5 @@
         zones=top.get("dcs", _each(str), ()),
         kinds=top.get("kinds", _each(str), ()),
     )
+    top.raise_faults()
+    return api.Settings(**values)
--- a/tests/test_extras.py
+++ b/tests/test_extras.py
@@ -18,6 +18,7 @@
 from kestrelspar.runtime.loop import MS, SECOND
 from kestrelspar.settings import platform as config
 from snowlock import interface as api
+from snowlock.settings import SettingsError
 from tests.bench import PAYMENT, READING, Scene
 from tests.forwarder import Forwarder, message_class, route
 from tests.forwarder import settings as module_settings
@@ -53,6 +54,18 @@
     assert config.read(written(tmp_path, {"limits": {}})).sockets == 1024
 
 
+def test_all_faults_of_a_configuration_are_told_at_once(tmp_path: Path) -> None:
+    # Guards against a start that is refused once for each fault, one after the other.
+    bad = {"settings": SETTINGS | {"limits": {"max_attempts": "x"}, "classes": [{"semantics": "odd"}, 3]},
+           "listen": "nowhere", "known": [], "limits": {"sockets": 0}}
+    with pytest.raises(SettingsError) as found:
+        config.read(written(tmp_path, bad))
+    assert sorted(fault.partition(": ")[0] for fault in found.value.faults) == [
+        "config.known", "config.limits.sockets", "config.listen", "settings.classes[0].deadline_ns",
+        "settings.classes[0].objective_ns", "settings.classes[0].semantics", "settings.classes[1]",
+        "settings.limits.connect_timeout_ns", "settings.limits.max_attempts", "settings.limits.max_open"]
+
+
 @pytest.mark.parametrize(("change", "key"), [
     ({"listen": "nowhere"}, "config.listen"), ({"listen": "127.0.0.1:99999"}, "config.listen"),
     ({"state": "/no/such/folder"}, "config.state"), ({"limits": {"disk_mb": -1}}, "config.limits.disk_mb"),
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -98,7 +98,8 @@
 
 
 class Program:
-    def __init__(self, folder: Path, world: str, rows: list[dict[str, Any]] | None = None, **environment: str) -> None:
+    def __init__(self, folder: Path, world: str, rows: list[dict[str, Any]] | None = None,
+                 change: dict[str, Any] | None = None, **environment: str) -> None:
         self.port = free_port()
         classes = [{"name": name, "objective_ns": 3 * 10**9, "deadline_ns": 16 * 10**9, "semantics": effect}
                    for name, effect in (("reading", "free"), ("payment", "single_shot"))]
@@ -108,6 +109,7 @@
             "settings": SETTINGS | {"classes": classes, "family_info": family, "dcs": ["a"], "kinds": ["m"]},
             "known": {"index": 1, "snapshot": True, "endpoints": [row("s-1", world)] if rows is None else rows},
         }
+        self.told |= change or {}
         told = written(folder, self.told)
         command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         command = command.replace(".venv/bin/python", sys.executable)
