An answer that is read as a message's time is up ends it with a notice, not as delivered

Concluded, not proven by a trace: a 200 was read in the last millisecond of our time, which starts when the request is read and is waited for to a whole millisecond more, so by the sender's clock it was late and counted for nothing; we called it delivered and told no end. At fault: control.py _patience (a call was waited for to the very deadline), nexthop.py _answer (a 200 read after the call's time was OK). Ruled out: notices that fell silent (logged), the clock at a start (16 ms), requests that waited unread (way_in is the time to the first attempt). Tests: test_attempts (a 200 as its time is up), test_past (no call to the very end), seen to fail before.

--- a/kestrelspar/http/nexthop.py
+++ b/kestrelspar/http/nexthop.py
@@ -119,7 +119,7 @@
         except Late:
             stream.close()
             return Result(Outcome.TIMEOUT)
-        deadline = min(deadline, self.loop.now + REST_WITHIN)
+        given_up, deadline = deadline, min(deadline, self.loop.now + REST_WITHIN)
         wait = 0  # heeded even if the answer that tells it is spoilt
         try:
             while (status := parser.status(stream.unread)) is None or status < 200:
@@ -127,6 +127,9 @@
                     stream.fill(deadline)
                 else:
                     parser.read_head(stream, deadline, response=True)  # 1xx: the answer is still to come
+            if status == 200 and self.loop.now > given_up:  # it came as the time was up: it counts for nobody else
+                stream.close()
+                return Result(Outcome.TIMEOUT, note="answered too late")
             if status == 200:
                 return self._delivered(hop, stream, deadline)
             answer = parser.read_head(stream, deadline, response=True)
--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -637,7 +637,7 @@
     def _patience(self, message: Message, route: Route) -> int:
         """How long to wait for the answer of this attempt."""
         cls = message.cls
-        left = max(self.s.tick_ns, message.deadline - self.now)
+        left = max(self.s.tick_ns, message.late - self.now)  # an answer after its time would not count
         usual = min(float(cls.aim_ns), self._usual(route))
         floor = self.s.connect_timeout_ns + self.s.tick_ns  # a connect failure proves more than a time-out
         # Heavy messages are few: a larger share of unanswered calls is lost, and patience ties up slots.
--- a/tests/http/test_attempts.py
+++ b/tests/http/test_attempts.py
@@ -134,3 +134,17 @@
     assert b" 202 " in stage.talk(hand_in()) and stage.loop.now - began < 400 * MS
     slow[0].until(lambda: slow[0].over)
     assert slow[0].over == END and slow[0].got.startswith(b"HTTP/1.1 408 ")
+
+
+def test_a_200_that_comes_as_its_time_is_up_is_not_taken_for_delivered(tmp_path: Path) -> None:
+    # Guards against a message without an end: who sent that answer late counts it for nothing, and no notice went.
+    stage = Stage(tmp_path, ok)
+    hop = Hop(stage)
+    span = 100 * MS
+    got, by = out(stage, span), stage.loop.now + span
+    stage.until(lambda: hop.socks)
+    stage.wait(2 * MS)
+    real, stage.loop.clock = stage.loop.clock, lambda: max(real(), by + 50 * MS)  # there in that turn
+    hop.socks[0].send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    stage.until(lambda: got)
+    assert got == [Outcome.TIMEOUT]
--- a/tests/test_past.py
+++ b/tests/test_past.py
@@ -119,3 +119,11 @@
         assert len(f.ended) == (0 if kept else 8)
         f.wait(6 * SECOND)
         assert len(f.ended) == 8
+
+
+def test_no_call_waits_to_the_very_end_of_its_message() -> None:
+    # Guards against an answer that is read as the time is up, by the sender's clock after it: no end would be told.
+    f = Forwarder(settings(message_class(Safety.UNSAFE, aim_ns=9 * SECOND)))
+    f.endpoints("a")
+    (send,) = f.arrive(1)
+    assert send.timeout_ns <= 10 * SECOND - 2 * f.given.tick_ns
