--- a/tests/http/test_descriptors.py
+++ b/tests/http/test_descriptors.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import resource
 import signal
 import socket
 import threading
@@ -32,12 +31,8 @@
 
 def small(folder: Path, world: str, discovery: str) -> Program:
     """The program, held to few descriptors by the system, too."""
-    before = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (SOCKETS, before[1]))
-    try:
-        return Program(folder, world, change={"discovery": discovery, "limits": {"sockets": SOCKETS}})
-    finally:
-        resource.setrlimit(resource.RLIMIT_NOFILE, before)
+    return Program(folder, world, change={"discovery": discovery, "limits": {"sockets": SOCKETS}},
+                   before=f"ulimit -n {SOCKETS}; ")
 
 
 def test_idle_clients_fill_the_descriptors_while_discovery_is_down(tmp_path: Path, world: str) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -99,7 +99,7 @@
 
 class Program:
     def __init__(self, folder: Path, world: str, rows: list[dict[str, Any]] | None = None,
-                 change: dict[str, Any] | None = None, **environment: str) -> None:
+                 change: dict[str, Any] | None = None, before: str = "", **environment: str) -> None:
         self.port = free_port()
         classes = [{"name": name, "objective_ns": 3 * 10**9, "deadline_ns": 16 * 10**9, "semantics": effect}
                    for name, effect in (("reading", "free"), ("payment", "single_shot"))]
@@ -113,7 +113,7 @@
         told = written(folder, self.told)
         command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         command = command.replace(".venv/bin/python", sys.executable)
-        self.process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, stdout=subprocess.PIPE,
+        self.process = subprocess.Popen(["/bin/sh", "-c", before + command], cwd=ROOT, stdout=subprocess.PIPE,
                                         env=os.environ | told | environment, text=True)
 
     def ask(self, method: str, path: str, **headers: str) -> int | None:
