An outage stays known to a restart for as long as it lasts; a test's next hop is told once

It is written again after half of that time, at the next outcome there. A comment in nexthop.py said the wrong reason for a late 200. The tests' Hop is a Peer now.

--- a/kestrelspar/http/nexthop.py
+++ b/kestrelspar/http/nexthop.py
@@ -127,7 +127,7 @@
                     stream.fill(deadline)
                 else:
                     parser.read_head(stream, deadline, response=True)  # 1xx: the answer is still to come
-            if status == 200 and self.loop.now > given_up:  # it came as the time was up: it counts for nobody else
+            if status == 200 and self.loop.now > given_up:  # its sender counts it as late: the message needs its end
                 stream.close()
                 return Result(Outcome.TIMEOUT, note="answered too late")
             if status == 200:
--- a/kestrelspar/journal/store.py
+++ b/kestrelspar/journal/store.py
@@ -177,15 +177,17 @@
     def in_outage(self, endpoint: bytes, outage: tuple[int, int | None] | None) -> None:
         """An endpoint is in an outage, or on its way back, since these times of our clock, or serves again.
 
-        Known for a while, restarts included, if there is room; written only where it changed.
+        Known for a while, restarts included, if there is room; written where it changed, and again before it would be
+        forgotten while it lasts.
         """
-        known = self._outages.get(endpoint)
+        known, now = self._outages.get(endpoint), time.time_ns() // 1000
         if outage is None:
             told = (0, 0, 0)
         else:
             since, back = outage[0] + self._offset, 0 if outage[1] is None else outage[1] + self._offset
-            told = (max(since, back, time.time_ns() // 1000) + LIMIT_FOR, since, back)
-        if told[1:] == (known or (0, 0, 0))[1:]:
+            told = (max(since, back, now) + LIMIT_FOR, since, back)
+        fresh = outage is None or known is not None and known[0] > now + LIMIT_FOR // 2
+        if fresh and told[1:] == (known or (0, 0, 0))[1:]:
             return
         record = records.outage_record(endpoint, *told)
         if len(record) < BLOCK and self._fits(len(record)) and self._append(record):
--- a/tests/http/test_attempts.py
+++ b/tests/http/test_attempts.py
@@ -12,30 +12,29 @@
 from kestrelspar.core.courier import Message
 from kestrelspar.http.nexthop import REST_WITHIN
 from kestrelspar.http.sender import State
+from kestrelspar.runtime.buffers import Stream
 from kestrelspar.runtime.loop import MS, SECOND
 from snowlock.interface import Outcome
-from tests.bench import PAYMENT, listener
+from tests.bench import PAYMENT
 from tests.http.test_endings import END, Caller
-from tests.test_http import Stage, attempt, hand_in, ok
+from tests.test_http import Peer, Stage, attempt, hand_in, ok
 
 RESET_NOW = struct.pack("ii", 1, 0)  # SO_LINGER: close is a reset
 
 
-class Hop:
-    """A next hop's listener, driven step by step by the test."""
+class Hop(Peer):
+    """A next hop that does nothing by itself: the test drives its sockets."""
 
     def __init__(self, stage: Stage) -> None:
-        self.stage = stage
-        self.listener, stage.peer.address = listener()
-        self.socks: list[socket.socket] = []
-        stage.loop.spawn(self.accept)
-
-    def accept(self) -> None:
-        while True:
-            self.stage.loop.readable(self.listener, None)
-            sock, _ = self.listener.accept()
-            sock.setblocking(False)
-            self.socks.append(sock)
+        super().__init__(stage, ok)
+        stage.peer = self
+
+    def serve(self, stream: Stream) -> None:
+        pass
+
+    @property
+    def socks(self) -> list[socket.socket]:
+        return [stream.sock for stream in self.streams]
 
 
 def out(stage: Stage, span: int = 2 * SECOND) -> list[Outcome]:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -188,3 +188,15 @@
     for number in range(100):
         log.learnt(b"s-%d" % number, 5.0)
     assert log.limit(b"s-0") and not log.limit(b"s-99") and on_disk(small) <= 4_096  # no room: nothing is known
+
+
+def test_an_outage_is_known_for_as_long_as_it_lasts(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a restart after a minute of an outage that was written once, at its beginning.
+    log, real, ahead = opened(tmp_path), time.time_ns, [0]
+    monkeypatch.setattr(j.time, "time_ns", lambda: real() + ahead[0])
+    for _ in range(5):
+        log.in_outage(b"a", (1_000_000, None))
+        assert log.outage(b"a") is not None
+        ahead[0] += 40 * 10**9
+    ahead[0] += 60 * 10**9
+    assert log.outage(b"a") is None
