--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -23,9 +23,9 @@
 import sys
 import tempfile
 from collections.abc import Iterable
-from concurrent.futures import ProcessPoolExecutor, as_completed
+from concurrent.futures import Executor, ProcessPoolExecutor, as_completed
 from dataclasses import asdict, dataclass, field, fields
-from datetime import datetime, timezone
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any
 
@@ -185,26 +185,24 @@
     return {figure: float(f"{value:.6g}") for figure, value in found.items()}
 
 
-def measure(wanted: list[Slope], file: Path, jobs: int) -> None:
-    """Every size and run of these, each in a process of its own; each row is written when it is there."""
+def measure(wanted: list[Slope], file: Path, pool: Executor) -> None:
+    """Every size and run of these; each row is written when it is there."""
     rows = {row.key: row for row in read(file)}
     for slope in wanted:  # sizes and runs that the slope no longer has
         for key in [key for key in rows if key[0] == slope.name]:
             if key[1] not in slope.sizes or key[2] > slope.runs:
                 del rows[key]
     at, on = commit(), machine()
-    spawn = multiprocessing.get_context("spawn")
-    with ProcessPoolExecutor(jobs, mp_context=spawn, max_tasks_per_child=1) as pool:
-        todo = {pool.submit(_one, slope.name, size, run): (slope, size, run)
-                for slope in wanted for run in range(1, slope.runs + 1) for size in slope.sizes}
-        for done in as_completed(todo):
-            slope, size, run = todo[done]
-            row = Row(slope.name, size, run, slope.setting, datetime.now(timezone.utc).strftime("%Y-%m-%dT%H:%M:%SZ"),
-                      at, on, done.result())
-            rows[row.key] = row
-            write(file, rows.values())
-            shown = ", ".join(f"{figure} {value:g} {slope.figures[figure]}" for figure, value in row.figures.items())
-            print(f"{slope.name}, {size} {slope.by}, run {run}: {shown}", flush=True)
+    todo = {pool.submit(_one, slope.name, size, run): (slope, size, run)
+            for slope in wanted for run in range(1, slope.runs + 1) for size in slope.sizes}
+    for done in as_completed(todo):
+        slope, size, run = todo[done]
+        now = datetime.now(UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
+        row = Row(slope.name, size, run, slope.setting, now, at, on, done.result())
+        rows[row.key] = row
+        write(file, rows.values())
+        shown = ", ".join(f"{figure} {value:g} {slope.figures[figure]}" for figure, value in row.figures.items())
+        print(f"{slope.name}, {size} {slope.by}, run {run}: {shown}", flush=True)
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -223,7 +221,9 @@
     try:
         there = slopes()
         if given.verb == "measure":
-            measure(named(given.name, there), given.file, max(1, given.jobs))
+            spawn = multiprocessing.get_context("spawn")
+            with ProcessPoolExecutor(max(1, given.jobs), mp_context=spawn, max_tasks_per_child=1) as pool:
+                measure(named(given.name, there), given.file, pool)
         elif given.verb == "page":
             from benchmarks.capacity_page import render  # it imports this module
 
--- a/benchmarks/target.py
+++ b/benchmarks/target.py
@@ -107,6 +107,9 @@
     name_bytes: int = 40  # of an endpoint's name with address, as told by a list
     region_link: int = 300  # seconds that regions lose each other: "minutes"
     burst_changes: int = 1_000  # of configuration told within one second: a roll-out to many destinations
+    work_mb: float = 1_000.0  # of a courier, for messages
+    disk_mb: float = 100_000.0  # of a courier, for messages
+    control_mb: float = 60.0  # megabytes a second that a control machine sends at most
     control_core: float = 0.5  # of a core of a control machine, for one kind of work
     restart_in: float = 10.0  # seconds in which a courier must serve again, and all that were lost be known
     spread: float = 30.0  # seconds over which the starts of a wave are to be spread
@@ -121,6 +124,9 @@
         "name_bytes": "bytes of a listed endpoint on the wire: name, address, state",
         "region_link": "seconds for which two regions lose each other ('minutes')",
         "burst_changes": "changes of configuration told within one second; the users name no burst yet",
+        "work_mb": "MB of a courier that its messages may take; the users name a bound for control only",
+        "disk_mb": "MB of a courier's disk that its messages may take",
+        "control_mb": "MB a second that a control machine sends at most",
         "control_core": "part of a core of a control machine that one kind of work may take",
         "restart_in": "seconds until a loss must be known, and until a start must serve",
         "spread": "seconds over which a wave's starts are spread by jitter",
@@ -158,5 +164,8 @@
     Looked("until 99 % know a word", "word", "known", 400, 0.4, "s"),
     Looked("until 99 % know a word", "word", "known", 800, 2.7, "s"),
     Looked("memory of listed endpoints", "listed", "memory", 50_000, 80.0, "MB"),
-    Looked("processor time of a start with listed endpoints", "listed", "start", 50_000, 4.9, "s"),
+    Looked("processor time of a start with listed endpoints", "listed", "start-cpu", 50_000, 4.9, "s"),
 )
+LOOKED_HOLLOW_GB = 100.0  # of all couriers of the target, their members held in one process: "over"
+LOOKED_MOST = 1_024  # members, beyond which more are refused
+LOOKED_WORD_MINUTES = 1.0  # of a courier's bytes for one word at the target: "minutes", so more than one
