What one courier costs by endpoints, open messages, rate and configuration: five slopes

Ruled out: the log line map-leaves as the sign that a change is in force, as it is written before the module has heard; a message for the destination that only the change lists is taken on after.

--- /dev/null
+++ b/tests/test_capacity_courier.py
@@ -0,0 +1,32 @@
+"""What one courier costs is measured by the real program: each measure gives its figures, here at small sizes."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from benchmarks import capacity_courier
+from benchmarks.capacity_courier import SLOPES
+from benchmarks.slope import Slope
+from kestrelspar.runtime.loop import SECOND
+
+# Where memory over an empty courier is told, the size is such that it stands out from what the system gives by pages.
+SIZES = {"listed": 1_000, "list-change": 20, "open-message": 300, "message-served": 40, "config-change": 20}
+
+
+@pytest.mark.parametrize("slope", SLOPES, ids=lambda slope: slope.name)
+def test_each_measure_gives_all_its_figures(slope: Slope, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(capacity_courier, "SPAN", SECOND // 2)
+    monkeypatch.setattr(capacity_courier, "CHANGES", 4)
+    found = slope.measure(SIZES[slope.name], 1)
+    assert found.keys() == slope.figures.keys()
+    assert all(math.isfinite(value) and value > 0 for value in found.values()), found
+
+
+def test_slopes_have_names_of_their_own_and_four_rising_sizes() -> None:
+    assert len({slope.name for slope in SLOPES}) == len(SLOPES)
+    for slope in SLOPES:
+        assert len(slope.sizes) >= 4 and list(slope.sizes) == sorted(set(slope.sizes)), slope.name
+        assert slope.figures and slope.doc.endswith(".") and slope.runs == 3, slope.name
+        assert set(slope.figures.values()) <= {"s", "ms", "us", "bytes", "MB", "count"}, slope.name
