--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 import argparse
-import importlib
+import importlib.util
 import json
 import multiprocessing
 import os
--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -11,11 +11,14 @@
 from benchmarks.capacity import missing
 from benchmarks.capacity_peers import Played
 from benchmarks.capacity_roles import (
+    BYTES,
+    CONTROL,
     FAILS,
     FIRST,
     LENT_FROM,
     LIMIT,
     LIST,
+    MEMORY,
     MOST_MEMBERS,
     PLACED_EACH,
     STAND,
@@ -37,6 +40,7 @@
 from kestrelspar.peers import counts, judgements, members, seal, shares
 from kestrelspar.peers.shares import spanned
 
+OF_CONTROL = (CONTROL, MEMORY, BYTES)
 NEAR = 1.5  # within this factor a figure that was looked at before counts as confirmed
 PAIRS = (("word", "word-brokered"), ("members", "members-grouped"), ("members-churn", "members-grouped"))
 
@@ -204,7 +208,7 @@
         return "", "", "one size only"
     sign = "-" if told.b < 0 else "+"
     power = f"{told.c:.3g} n^{told.k:.2f}" if told.k else "none"
-    return (f"{told.a:.3g} {sign} {abs(told.b):.3g} n", power, f"{told.kind}, {amount(told.off, 'share')}")
+    return (f"{told.a:.3g} {sign} {abs(told.b):.3g} n", power, f"{told.kind}, {amount(round(told.off, 4), 'share')}")
 
 
 def _looked(reading: Reading) -> list[str]:
@@ -227,8 +231,6 @@
         told.append([look.what, f"{look.size:,}", amount(look.value, look.unit),
                      amount(here.value, look.unit) + measured, says])
     lines += table(["what", "size", "looked at", "found here", ""], told)
-    told = []
-    reading.begin()
     lines += _guarded(lambda: _lookings(reading))
     return lines
 
@@ -276,15 +278,21 @@
 
 def _roles(found: list[Result], lacking: list[tuple[object, str]]) -> list[str]:
     lines = ["## What each role must bear at the target", "",
-             f"'Ratio' is need over bound with events spread evenly, as now; 'placed' the same where a destination's "
-             f"events go to {A.placed} couriers. Above 1 the bound forbids it.", ""]
+             "'Ratio' is need over bound, with events spread evenly over couriers, as now: above 1 the bound forbids "
+             "it. "
+             "'With it' is the ratio that the row's mechanism leaves by the same slopes, with a destination's events "
+             f"placed on {A.placed} couriers where it stands on that, and members in groups of {T.zone}; what the "
+             "mechanism itself costs is not in it. Empty: not known.", ""]
     for role in Role:
-        rows = [[f"{each.row.kind}: {each.row.what}", each.row.how, amount(each.need, each.row.unit), far(each.used),
+        rows = [[f"{each.row.kind}: {each.row.what}" + (f" (if {each.row.supposed})" if each.row.supposed else ""),
+                 each.row.how, amount(each.need, each.row.unit), far(each.used),
                  f"{amount(each.bound, each.row.unit)} ({each.row.by_bound})", times(each.ratio),
-                 "" if each.placed is None else times(each.placed), f"{each.row.by}: **{STAND[each.row.by]}**"]
+                 _left(each), f"{each.row.by}: **{STAND[each.row.by]}**"]
                 for each in found if each.row.role is role]
         lines += [f"### {role}", "", *table(["what", "slope x size", "at the target", "measured", "bound", "ratio",
-                                             "placed", "mechanism"], rows)]
+                                             "with it", "mechanism"], rows)]
+        if role is Role.COURIER:
+            lines += _together(found)
         for row, name in lacking:
             if row.role is role:  # type: ignore[attr-defined]
                 lines += [f"Not worked out: {row.what}, as the slope {name} is not "
@@ -292,6 +300,23 @@
     return lines
 
 
+def _left(result: Result) -> str:
+    return "" if result.left is None else times(result.left)
+
+
+def _together(found: list[Result]) -> list[str]:
+    """All of control at one courier against what it may take."""
+    told = []
+    for bound, unit, most in ((MEMORY, "MB", T.memory_mb), (CONTROL, "ms", T.processor_ms),
+                              (BYTES, "bytes", float(T.bytes_a_second))):
+        rows = [each for each in found if each.row.by_bound == bound and not each.row.supposed]
+        need, left = sum(each.need for each in rows), sum((each.left or 0.0) * each.bound for each in rows)
+        told.append([bound, str(len(rows)), amount(need, unit), amount(most, unit), times(need / most),
+                     amount(left, unit), times(left / most)])
+    return ["All of these rows together, at one courier:", "",
+            *table(["", "rows", "at the target", "bound", "ratio", "with the mechanisms", "ratio"], told)]
+
+
 def _grouped(reading: Reading) -> list[str]:
     def lines() -> list[str]:
         told = []
@@ -488,25 +513,28 @@
 
 def _ranking(found: list[Result]) -> list[str]:
     order = ranked(found)
-    worst = {each.row.by: each for each in ranked(found, placed=True)}
     rows = []
     for place, each in enumerate(order, 1):
-        then = worst[each.row.by]
-        over = [one for one in found if one.row.by is each.row.by and one.ratio > 1]
-        bound = [one for one in over if one.row.by_bound.endswith("of control")]
+        mine = [one for one in found if one.row.by is each.row.by and not one.row.supposed]
+        over = [one for one in mine if one.ratio > 1]
+        bound = [one for one in over if one.row.by_bound in OF_CONTROL]
+        left = max((one.left for one in mine if one.left is not None), default=None)
         rows.append([str(place), str(each.row.by), f"**{STAND[each.row.by]}**", f"{each.row.role}: {each.row.what}",
-                     times(each.ratio), times(then.placed if then.placed is not None else then.ratio),
-                     f"{len(over)}, {len(bound)} of them of what control may take"])
+                     times(each.ratio), "" if left is None else times(left), f"{len(over)} of {len(mine)}",
+                     str(len(bound))])
     lines = ["## Ranking: need over bound, the worst first", "",
-             *table(["", "mechanism", "", "its worst row", "ratio", "worst when placed", "rows above their "
-                                                                                         "bound"], rows),
+             "Rows that only would be so are left out. What the control plane's bounds (processor time, memory, bytes "
+             "of "
+             "a courier) forbid is counted apart.", "",
+             *table(["", "mechanism", "", "its worst row", "ratio", "worst with it", "rows above their bound",
+                     "of them above one of control"], rows),
              "What is above what control may take of a courier, the worst first:", ""]
-    control = sorted((each for each in found if each.row.by_bound.endswith("of control") and each.ratio > 1),
-                     key=lambda each: -each.ratio)
-    lines += table(["row", "at the target", "bound", "ratio", "placed"],
+    control = [each for each in found if each.row.by_bound in OF_CONTROL and each.ratio > 1 and not each.row.supposed]
+    control.sort(key=lambda each: -each.ratio)
+    lines += table(["row", "at the target", "bound", "ratio", "with it"],
                    [(f"{each.row.role}, {each.row.kind}: {each.row.what}", amount(each.need, each.row.unit),
                      f"{amount(each.bound, each.row.unit)}, {each.row.by_bound}", times(each.ratio),
-                     "" if each.placed is None else times(each.placed)) for each in control])
+                     _left(each)) for each in control])
     return lines + _first(order, found)
 
 
@@ -530,7 +558,7 @@
     if sent is not None:
         lines[0] += (f"Of what control may take, words on endpoints need {times(sent.ratio)} times the bytes of a "
                      f"courier, "
-                     f"and {times(sent.placed or 0)} of them when told only to those {A.placed} whom a destination "
+                     f"and {times(sent.left or 0)} times when told only to those {A.placed} whom a destination "
                      "concerns. ")
     lines[0] += (f"Members are place {places[By.GROUPS]} by ratio ({times(groups.ratio)}), but {len(hard)} rows of "
                  f"theirs are "
--- a/benchmarks/capacity_roles.py
+++ b/benchmarks/capacity_roles.py
@@ -1,7 +1,8 @@
 """The rows of docs/CAPACITY.md: for each role what it must bear at the target, as slope x size, and by what mechanism.
 
 A row is data: a formula over the slopes (``Reading``) and the target, a bound, a mechanism, and whether that stands.
-Where events for one destination went to a few couriers only, most rows change: ``placed`` is the same formula then.
+``left`` is the same with the mechanism, and with placement where it stands on that: a destination's events go to few
+couriers then. No ``left``: what the mechanism leaves is not known.
 """
 
 from __future__ import annotations
@@ -127,12 +128,8 @@
     bound: float | Formula
     by_bound: str
     by: By
-    placed: Formula | None = None  # the same where a destination's events go to a few couriers
-
-
-def stands(row: Row) -> Stands:
-    """How far its mechanism is."""
-    return STAND[row.by]
+    left: Formula | None = None  # the same with the mechanism
+    supposed: str = ""  # not so today, but would be if this were: such rows are not ranked
 
 
 N = T.couriers
@@ -142,7 +139,7 @@
 LIST = T.destinations * A.name_bytes
 CONTROL, MEMORY, BYTES = "processor time of control", "memory of control", "bytes a second of control"
 CODE = "bound in the code"
-LEFT = T.control_machines - T.control_a_region  # control machines when a region's are gone
+REST = T.control_machines - T.control_a_region  # control machines when a region's are gone
 
 
 def capacity(r: Reading) -> float:
@@ -150,28 +147,34 @@
     return (1 - T.core) * 1e6 / r.at("message-served", "cpu", T.events_each)
 
 
+def _brokered(r: Reading) -> float:
+    size = max(r.fit("word-alone", "told").means)
+    one = r.at("word-alone", "processor", size) / r.at("word-alone", "told", size)
+    return N * FAILS / T.control_machines * A.placed * one
+
+
 ROWS: tuple[Row, ...] = (
     # Courier: members
     Row(Role.COURIER, "state", "members known", "couriers, over the most that the code takes", lambda r: N, "count",
-        MOST_MEMBERS, f"{CODE}: more are refused (`About.most`)", By.GROUPS, lambda r: N),
+        MOST_MEMBERS, f"{CODE}: more are refused (`About.most`)", By.GROUPS, lambda r: T.zone),
     Row(Role.COURIER, "state", "senders whose sequence is held", "couriers, over the most that the code takes",
         lambda r: N, "count", seal.SENDERS, f"{CODE}: datagrams of more are dropped (`seal.SENDERS`)", By.GROUPS,
-        lambda r: N),
+        lambda r: T.zone),
     Row(Role.COURIER, "memory", "members known", "member-alone.memory at all couriers",
         lambda r: r.at("member-alone", "memory", N), "MB", T.memory_mb, MEMORY, By.GROUPS,
-        lambda r: r.at("member-alone", "memory", N)),
+        lambda r: r.at("member-alone", "memory", T.zone)),
     Row(Role.COURIER, "processor time", "members at rest, with the target's restarts",
         "member-alone.processor at all couriers", lambda r: r.at("member-alone", "processor", N), "ms", T.processor_ms,
-        CONTROL, By.GROUPS, lambda r: r.at("member-alone", "processor", N)),
+        CONTROL, By.GROUPS, lambda r: r.at("member-alone", "processor", T.zone)),
     Row(Role.COURIER, "messages", "members at rest, with the target's restarts", "member-alone.sent at all couriers",
         lambda r: r.at("member-alone", "sent", N), "bytes", T.bytes_a_second, BYTES, By.GROUPS,
-        lambda r: r.at("member-alone", "sent", N)),
+        lambda r: r.at("member-alone", "sent", T.zone)),
     Row(Role.COURIER, "time", "until all are known after starts of all", "members.all-known at all couriers",
         lambda r: r.at("members", "all-known", N), "s", A.spread, "assumed", By.GROUPS,
-        lambda r: r.at("members", "all-known", N)),
+        lambda r: r.at("members", "all-known", T.zone)),
     Row(Role.COURIER, "time", "until a loss is known", "members-churn.loss-known at all couriers",
         lambda r: r.at("members-churn", "loss-known", N), "s", A.restart_in, "assumed", By.GROUPS,
-        lambda r: r.at("members-churn", "loss-known", N)),
+        lambda r: r.at("members-churn", "loss-known", T.zone)),
     # Courier: words
     Row(Role.COURIER, "messages", "words on what is down, told by one courier",
         "failed calls a second x what each member adds to word.sent x members",
@@ -183,7 +186,8 @@
     Row(Role.COURIER, "processor time", "order of those that try what is out",
         "destinations down x order.processor at those whom it concerns x looks a second",
         lambda r: T.destinations_down * r.at("order", "processor", N) / 1e3 * TICKS, "ms", T.processor_ms, CONTROL,
-        By.WORDS, lambda r: PLACED_EACH * T.down * r.each("order", "processor", A.placed) / 1e3 * TICKS),
+        By.WORDS, lambda r: PLACED_EACH * T.down * r.each("order", "processor", A.placed) / 1e3 * TICKS,
+        "words on all that is out were heard"),
     # Courier: limits and counts
     Row(Role.COURIER, "state", "calls of one limit that a courier owns in a second: one wanted",
         "couriers that share it, over the limit's calls a second", lambda r: N / LIMIT, "count", 1.0,
@@ -199,17 +203,18 @@
         lambda r: r.at("budgets-held", "tick", T.destinations) * TICKS, "ms", T.processor_ms, CONTROL, By.SHARES,
         lambda r: r.at("budgets-held", "tick", PLACED_EACH) * TICKS),
     Row(Role.COURIER, "state", "couriers whose counts are held", "couriers, over the most that the code takes",
-        lambda r: N, "count", counts.HELD, f"{CODE}: of more nothing is held (`counts.HELD`)", By.COUNTS, lambda r: N),
+        lambda r: N, "count", counts.HELD, f"{CODE}: of more nothing is held (`counts.HELD`)", By.COUNTS,
+        lambda r: T.zone),
     Row(Role.COURIER, "state", "counters of its own", "destinations x counters of each, over the most kept apart",
         lambda r: T.destinations * COUNTERS_EACH, "count", counts.MOST, f"{CODE}: more count as one (`counts.MOST`)",
         By.COUNTS, lambda r: PLACED_EACH * COUNTERS_EACH),
     Row(Role.COURIER, "memory", "counts of all, 20 counters each", "counts-held.memory at all couriers",
         lambda r: r.at("counts-held", "memory", N), "MB", T.memory_mb, MEMORY, By.COUNTS,
-        lambda r: r.at("counts-held", "memory", N)),
+        lambda r: r.at("counts-held", "memory", T.zone)),
     Row(Role.COURIER, "time", "one courier hears all others' counts",
         "counts.heard at all couriers, over bytes a second of control",
         lambda r: r.at("counts", "heard", N) / T.bytes_a_second, "s", A.restart_in, "assumed", By.COUNTS,
-        lambda r: r.at("counts", "heard", N) / T.bytes_a_second),
+        lambda r: r.at("counts", "heard", T.zone) / T.bytes_a_second),
     # Courier: lists, configuration
     Row(Role.COURIER, "memory", "listed destinations, one endpoint each", "listed.memory at all destinations",
         lambda r: r.at("listed", "memory", T.destinations), "MB", T.memory_mb, MEMORY, By.LISTS,
@@ -232,18 +237,15 @@
         By.CONFIG, lambda r: r.at("config-change", "read", PLACED_EACH) / 1e3),
     # Courier: messages
     Row(Role.COURIER, "memory", "open messages", "open-message.memory at the backlog of one courier",
-        lambda r: r.at("open-message", "memory", T.backlog_each), "MB", A.work_mb, "assumed", By.BACKLOG,
-        lambda r: r.at("open-message", "memory", T.backlog_each)),
+        lambda r: r.at("open-message", "memory", T.backlog_each), "MB", A.work_mb, "assumed", By.BACKLOG),
     Row(Role.COURIER, "state", "open messages on disk", "open-message.disk-each x the backlog of one courier",
         lambda r: r.at("open-message", "disk-each", T.backlog_each) * T.backlog_each / 1e6, "MB", A.disk_mb, "assumed",
-        By.BACKLOG, lambda r: r.at("open-message", "disk-each", T.backlog_each) * T.backlog_each / 1e6),
+        By.BACKLOG),
     Row(Role.COURIER, "time", "a start with that backlog", "open-message.start-wall at the backlog of one courier",
-        lambda r: r.at("open-message", "start-wall", T.backlog_each), "s", A.restart_in, "assumed", By.BACKLOG,
-        lambda r: r.at("open-message", "start-wall", T.backlog_each)),
+        lambda r: r.at("open-message", "start-wall", T.backlog_each), "s", A.restart_in, "assumed", By.BACKLOG),
     Row(Role.COURIER, "processor time", "messages served", "message-served.cpu x events a second of one courier",
         lambda r: T.events_each * r.at("message-served", "cpu", T.events_each) / 1e3, "ms", 1_000 * (1 - T.core),
-        "a core beside control", By.COURIER,
-        lambda r: T.events_each * r.at("message-served", "cpu", T.events_each) / 1e3),
+        "a core beside control", By.COURIER),
     # Client's side
     Row(Role.CLIENT, "state", "couriers that meet one destination", "couriers, over those that it is placed on",
         lambda r: N, "count", A.placed, "assumed", By.PLACED, lambda r: A.placed),
@@ -252,10 +254,10 @@
         lambda r: r.at("order", "processor", N) / r.at("message-served", "cpu", T.events_each), "count", 1.0,
         "what a courier takes to serve it", By.PLACED,
         lambda r: (r.each("order", "processor", T.zones) + r.each("order", "processor", T.zone))
-        / r.at("message-served", "cpu", T.events_each)),
+        / r.at("message-served", "cpu", T.events_each), "clients placed events so"),
     Row(Role.CLIENT, "memory", "couriers known", "member-alone.memory at all couriers",
         lambda r: r.at("member-alone", "memory", N), "MB", T.memory_mb, "assumed as for a courier", By.PLACED,
-        lambda r: r.at("member-alone", "memory", N)),
+        supposed="clients knew all couriers"),
     # Who tells
     Row(Role.TELLER, "messages", "the whole list told to one courier, at its bytes a second",
         "destinations x bytes of one, over bytes a second of control", lambda r: LIST / T.bytes_a_second, "s",
@@ -276,14 +278,14 @@
         lambda r: A.burst_changes * A.placed / N * r.at("list-change", "wire", PLACED_EACH) / T.bytes_a_second),
     # Control machine
     Row(Role.CONTROL, "state", "couriers that one carries when a region's machines are gone",
-        "couriers, over the machines left", lambda r: N / LEFT, "count", MOST_MEMBERS, CODE, By.CONFIG,
-        lambda r: N / LEFT),
+        "couriers, over the machines left", lambda r: N / REST, "count", MOST_MEMBERS, CODE, By.CONFIG),
     Row(Role.CONTROL, "processor time", "words on what is down, if all go through control machines",
         "failed calls a second of all, over machines, x couriers told x word-alone.processor for one told",
-        lambda r: _brokered(r, N), "ms", 1_000 * A.control_core, "assumed", By.WORDS, lambda r: _brokered(r, A.placed)),
+        _brokered, "ms", 1_000 * A.control_core, "assumed", By.WORDS, _brokered,
+        "words went to those concerned, through control machines"),
     Row(Role.CONTROL, "memory", "counts of its couriers, 20 counters each", "counts-held.memory at its couriers",
         lambda r: r.at("counts-held", "memory", T.couriers_a_control), "MB", T.memory_mb, "assumed as for a courier",
-        By.COUNTS, lambda r: r.at("counts-held", "memory", T.couriers_a_control)),
+        By.COUNTS, supposed="they summed what their couriers count"),
     # Member system
     Row(Role.MEMBER, "state", "couriers that connect to one", "couriers that meet its destination", lambda r: N,
         "count", A.calls_out, "assumed", By.PLACED, lambda r: A.placed),
@@ -293,12 +295,6 @@
 )
 
 
-def _brokered(r: Reading, told: float) -> float:
-    size = max(r.fit("word-alone", "told").means)
-    one = r.at("word-alone", "processor", size) / r.at("word-alone", "told", size)
-    return N * FAILS / T.control_machines * told * one
-
-
 @dataclass(frozen=True)
 class Result:
     """A row at the target."""
@@ -307,7 +303,7 @@
     need: float
     bound: float
     ratio: float
-    placed: float | None  # the ratio then
+    left: float | None  # the ratio then
     used: dict[str, tuple[int, float, str]]
 
 
@@ -321,23 +317,18 @@
             need = row.need(reading)
             used = reading.used
             reading.begin()
-            placed = row.placed(reading) / bound if row.placed is not None else None
+            left = row.left(reading) / bound if row.left is not None else None
         except NotMeasured as error:
             lacking.append((row, str(error)))
             continue
-        found.append(Result(row, need, bound, need / bound, placed, used))
+        found.append(Result(row, need, bound, need / bound, left, used))
     return found, lacking
 
 
-def ranked(found: Iterable[Result], placed: bool = False) -> list[Result]:
+def ranked(found: Iterable[Result]) -> list[Result]:
     """Of each mechanism the row with the worst ratio, the worst first."""
     worst: dict[By, Result] = {}
-
-    def ratio(result: Result) -> float:
-        return result.placed if placed and result.placed is not None else result.ratio
-
     for result in found:
-        if result.row.by not in worst or ratio(result) > ratio(worst[result.row.by]):
+        if not result.row.supposed and (result.row.by not in worst or result.ratio > worst[result.row.by].ratio):
             worst[result.row.by] = result
-    return sorted(worst.values(), key=ratio, reverse=True)
-
+    return sorted(worst.values(), key=lambda result: -result.ratio)
