Discovery that tells its whole list: a slope to where a courier reads no longer a line

Seen with the courier of the slopes and a stand-in that tells the whole list: at 30,000 listed (4,155,643 bytes) one changed endpoint costs the courier 563 ms of processor time, at 50,000 (6,955,607 bytes) it breaks the watch off, as watch.MOST_LINE is 4 MiB; its log has a map-break that does not say why.

What was taken on and delivered is a share now, as slope.py has the unit.

--- a/benchmarks/capacity_courier.py
+++ b/benchmarks/capacity_courier.py
@@ -23,6 +23,7 @@
 from benchmarks.slope import Slope
 from kestrelspar.http.notices import Notices
 from kestrelspar.journal import Journal
+from kestrelspar.runtime.buffers import Stream
 from kestrelspar.runtime.loop import MS, SECOND, Loop, clock
 from kestrelspar.standins import platform
 
@@ -35,6 +36,7 @@
 BODY = 200
 MB = 1e6
 LISTED = (1_000, 10_000, 50_000, 200_000)
+AGAIN = (1_000, 3_000, 10_000, 30_000)  # one list of 4 MiB is the longest that a courier reads (watch.MOST_LINE)
 
 
 class Place:
@@ -76,34 +78,45 @@
 
 
 def list_change(size: int, run_: int) -> dict[str, float]:
-    """One endpoint after the other moves to a destination that was not listed before."""
+    """One endpoint after the other moves to a destination that was not listed before; the change alone is told."""
+    return _changed(size, run_, whole=False)
+
+
+def list_again(size: int, run_: int) -> dict[str, float]:
+    """The same, and each time the whole list is told."""
+    return _changed(size, run_, whole=True)
+
+
+def _changed(size: int, run_: int, whole: bool) -> dict[str, float]:
     place = _quick(run_)
-    rows = place.rows(size)
     costs, wires, tellers, times = [], [], [], []
-    with place.courier(rows) as courier:
+    with place.courier(place.rows(size)) as courier:
         courier.ready()
         courier.settle()
         stream = run(place.loop, courier.stream)
-        moved = [place.dice.randrange(size) for _ in range(CHANGES)]
-        for change, number in enumerate(moved):
-            group = FRESH + change
-            news = [rows[number] | {"group": group}]
+        rows = place.rows(size)
+        for change in range(CHANGES):
+            moves = place.dice.randrange(size)
+            rows[moves]["group"] = group = FRESH + change
+            news = rows if whole else [rows[moves]]
             if change % 2:
-                times.append(run(place.loop, _in_force, place, stream, news, group))
+                times.append(run(place.loop, _in_force, place, stream, news, whole, group))
                 continue
             before = courier.settle()
-            wire, teller = place.discovery.tell(news)
+            wire, teller = run(place.loop, place.discovery.tell, news, whole)
             costs.append(courier.settle() - before)
             wires.append(wire)
             tellers.append(teller)
+        if courier.lines("map-break"):
+            raise NotMeasured(f"the courier broke its watch off at a line of {max(wires)} bytes")
     return {"in-force": statistics.median(times) * 1e3, "hearer": statistics.median(costs) * 1e6,
             "wire": statistics.mean(wires), "teller": statistics.median(tellers) * 1e6}
 
 
-def _in_force(place: Place, stream: Any, news: list[dict[str, Any]], group: int) -> float:
+def _in_force(place: Place, stream: Stream, news: list[dict[str, Any]], whole: bool, group: int) -> float:
     """Tell a change and hand in messages for the destination that it lists, until one is taken on: seconds."""
     begin = time.monotonic()
-    place.discovery.tell(news)
+    place.discovery.tell(news, whole)
     asked = 0
     while hand_in(stream, f"{group}-{asked}", "reading", group, b"x" * BODY) != 202:
         asked += 1
@@ -154,9 +167,10 @@
         statuses = load(courier, size, SPAN, ("reading",))
         wait(place.loop, SPAN + SECOND)
         cost = courier.cpu - before
-    offered = SPAN * size / SECOND
-    return {"cpu": cost * 1e6 / max(1, len(place.seen.answered)), "taken-of-1000": 1e3 * statuses.count(202) / offered,
-            "delivered-of-1000": 1e3 * len(place.seen.answered) / offered}
+    offered, delivered = SPAN * size / SECOND, len(place.seen.answered)
+    if not delivered:
+        raise NotMeasured(f"nothing was delivered; hand-ins were answered {sorted(set(statuses))}")
+    return {"cpu": cost * 1e6 / delivered, "taken": statuses.count(202) / offered, "delivered": delivered / offered}
 
 
 def config_change(size: int, run: int) -> dict[str, float]:
@@ -202,6 +216,10 @@
           "listed: until a message for it is taken on (asked again and again, so late by a question at most), "
           "processor time of the courier and of the stand-in, and bytes on the wire, the median of ten changes; not "
           "counted: a discovery that sends its whole list."),
+    Slope("list-again", "listed endpoints", AGAIN,
+          {"in-force": "ms", "hearer": "us", "wire": "bytes", "teller": "us"}, list_again,
+          f"{_WHERE}: the same where discovery tells its whole list for each change; the sizes end where the list is "
+          "longer than the 4 MiB that a courier reads as one; not counted: more couriers that hear it."),
     Slope("open-message", "open messages", (1_000, 10_000, 30_000, 100_000),
           {"memory": "MB", "memory-each": "bytes", "disk-each": "bytes", "start-cpu": "s", "start-wall": "s"},
           open_message,
@@ -210,11 +228,11 @@
           "memory, also over one with an empty journal, bytes of the journal's file, and the time from exec until it "
           "serves; not counted: taking them on over HTTP, and their delivery."),
     Slope("message-served", "messages a second offered", (40, 80, 160, 320),
-          {"cpu": "us", "taken-of-1000": "count", "delivered-of-1000": "count"}, message_served,
+          {"cpu": "us", "taken": "share", "delivered": "share"}, message_served,
           f"{_WHERE}: processor time of the courier a delivered message of class reading with {BODY} bytes, at "
-          f"{HOPS} next hops that answer after 10 to 30 ms, over {SPAN // SECOND} s and one more, and how many of "
-          "1,000 offered were taken on and delivered by then; they come evenly, from eight clients that wait for each "
-          "answer; not counted: clients and next hops."),
+          f"{HOPS} next hops that answer after 10 to 30 ms, over {SPAN // SECOND} s and one more, and which "
+          "shares of those offered were taken on and delivered by then; they come evenly, from eight clients that wait "
+          "for each answer; not counted: clients and next hops."),
     Slope("config-change", "endpoints in the configuration", LISTED,
           {"read": "ms", "hearer": "ms", "file": "MB", "memory": "MB", "peak": "MB"}, config_change,
           f"{_WHERE}: from SIGHUP until the log says that the changed configuration was read (one endpoint and one "
--- a/benchmarks/program.py
+++ b/benchmarks/program.py
@@ -14,6 +14,7 @@
 import ujson
 
 from kestrelspar.http import parser
+from kestrelspar.http.watch import MOST_LINE
 from kestrelspar.runtime.buffers import BufferPool, Closed, Late, Stream
 from kestrelspar.runtime.loop import MS, SECOND, Loop, connect
 from kestrelspar.standins import platform
@@ -71,6 +72,7 @@
     def __init__(self, loop: Loop, rows: list[dict[str, Any]]) -> None:
         super().__init__(loop, rows)
         self._watching: list[Stream] = []
+        self._telling = False  # a long list is not broken into by an empty line
 
     def reply(self, stream: Stream, head: parser.Head, body: bytes) -> bytes | None:
         """See ``Server.reply``."""
@@ -79,23 +81,31 @@
         stream.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", self.loop.now + SECOND)
         self._watching.append(stream)
         while not stream.ended():
-            stream.write(b"1\r\n\n\r\n", self.loop.now + SECOND)
+            if not self._telling:
+                stream.write(b"1\r\n\n\r\n", self.loop.now + SECOND)
             self.loop.sleep(SECOND)
         self._watching.remove(stream)
         return None
 
     def tell(self, rows: list[dict[str, Any]], whole: bool = False) -> tuple[int, float]:
         """Write these rows to each watch, as changes or as the ``whole`` list; bytes on the wire, and seconds of
-        processor time that it took here."""
+        processor time that it took here. To be called in a task."""
+        if not self._watching:
+            raise NotMeasured("the courier does not watch discovery now")
         begin = time.process_time_ns()
         self.index += 1
         told = {"index": self.index, "snapshot": whole, "endpoints": rows}
         line = ujson.dumps(told, escape_forward_slashes=False).encode() + b"\n"
         chunk = b"%x\r\n%s\r\n" % (len(line), line)
-        for stream in self._watching:
-            stream.write(chunk, self.loop.now + 5 * SECOND)
-        if not self._watching:
-            raise NotMeasured("the courier does not watch discovery now")
+        self._telling = True
+        try:
+            for stream in self._watching:
+                stream.write(chunk, self.loop.now + 5 * SECOND)
+        except (Closed, Late) as error:
+            raise NotMeasured(f"the courier took no line of {len(line)} bytes from discovery ({error!r}); "
+                              f"the longest that it reads is {MOST_LINE}") from error
+        finally:
+            self._telling = False
         return len(chunk), (time.process_time_ns() - begin) / 1e9
 
 
--- a/tests/test_capacity_courier.py
+++ b/tests/test_capacity_courier.py
@@ -12,7 +12,8 @@
 from kestrelspar.runtime.loop import SECOND
 
 # Where memory over an empty courier is told, the size is such that it stands out from what the system gives by pages.
-SIZES = {"listed": 1_000, "list-change": 20, "open-message": 300, "message-served": 40, "config-change": 20}
+SIZES = {"listed": 1_000, "list-change": 20, "list-again": 20, "open-message": 300, "message-served": 40,
+         "config-change": 20}
 
 
 @pytest.mark.parametrize("slope", SLOPES, ids=lambda slope: slope.name)
@@ -29,4 +30,4 @@
     for slope in SLOPES:
         assert len(slope.sizes) >= 4 and list(slope.sizes) == sorted(set(slope.sizes)), slope.name
         assert slope.figures and slope.doc.endswith(".") and slope.runs == 3, slope.name
-        assert set(slope.figures.values()) <= {"s", "ms", "us", "bytes", "MB", "count"}, slope.name
+        assert set(slope.figures.values()) <= {"s", "ms", "us", "bytes", "MB", "count", "share"}, slope.name
