--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -9,7 +9,7 @@
 
 from benchmarks.capacity import Row as Measured
 from benchmarks.capacity import missing
-from benchmarks.capacity_peers import Played
+from benchmarks.capacity_peers import CALLS, LOAD, Played
 from benchmarks.capacity_roles import (
     BYTES,
     CONTROL,
@@ -41,6 +41,7 @@
 from kestrelspar.peers.shares import spanned
 
 OF_CONTROL = (CONTROL, MEMORY, BYTES)
+SAID = 2  # datagrams on members that a courier sends in a period: its question, and an answer to another's
 NEAR = 1.5  # within this factor a figure that was looked at before counts as confirmed
 PAIRS = (("word", "word-brokered"), ("members", "members-grouped"), ("members-churn", "members-grouped"))
 
@@ -67,6 +68,8 @@
         "count": [(1, "")],
         "share": [(0.01, "%")],
     }
+    if value == 0:
+        return f"0 {next(name for scale, name in scales[unit] if scale == 1 or unit == 'share')}".strip()
     for scale, name in scales[unit]:
         least = 2 * scale if name in ("days", "h", "min") else scale
         if abs(value) >= least or (scale, name) == scales[unit][-1]:
@@ -214,7 +217,7 @@
 def _looked(reading: Reading) -> list[str]:
     lines = ["## What was looked at before, and what was found", "",
              "Looked at by the users, one run each beside other load. Confirmed is what is within a factor of "
-             f"{number(NEAR)}. They had another machine, and one that did other work.", ""]
+             f"{number(NEAR)}. Found here is the mean of runs on the machine named above.", ""]
     told = []
     for look in LOOKED:
         try:
@@ -246,6 +249,8 @@
     alone = reading.at("member-alone", "memory", N)
     minutes = "corrected" if told < N - 1 or each * N / T.bytes_a_second < 60 * LOOKED_WORD_MINUTES else "confirmed"
     share = LIMIT / N
+    served = reading.fit("budgets", "served").means
+    few, many = min(served), max(served)
     largest = max(reading.fit("members", "processor").means)
     model = reading.at("members", "processor", largest)
     one = reading.at("member-alone", "processor", largest)
@@ -272,7 +277,10 @@
         f"limit "
         f"of {number(LIMIT)}; the span is made longer for it, to {amount(spanned(LIMIT, N)[1] / 1e6, 's')}. And of a "
         f"part "
-        f"under {LENT_FROM} calls nothing is lent ({amount(shares.LEND, 'share')} of it, rounded down).", ""]
+        f"under {LENT_FROM} calls nothing is lent ({amount(shares.LEND, 'share')} of it, rounded down): of {CALLS} "
+        f"calls a second, half of a load of {LOAD} at one "
+        f"courier, {amount(served[few], 'share')} of the messages are served at {few} members, "
+        f"{amount(served[many], 'share')} at {many}.", ""]
     return lines
 
 
@@ -344,13 +352,12 @@
     def lines() -> list[str]:
         known = reading.at("members-churn", "loss-known", N)
         near = reading.at("members-churn", "loss-known", T.zone)
-        say = members.TELL * math.log2(N + 2)
+        say = int(members.TELL * math.log2(N + 2))
         told = []
         for what, count, how_often in (
                 ("a machine", A.a_machine, f"{T.machines_lost_a_day} a day"),
                 ("a rack or switch", A.rack, f"one in {T.days_between_racks} days"),
                 ("a zone", T.zone, f"one in {T.days_between_zones} days"),
-                ("a region, its links gone", T.region, f"for {amount(A.region_link, 's')}, assumed"),
                 ("a wave of restarts", T.wave, "")):
             told.append([what, f"{count:,}", how_often, number(count * T.backlog_each),
                          number(count * T.events_each), number(count * T.events_each * known),
@@ -377,11 +384,18 @@
             f"{amount(T.wave * PLACED_EACH * A.name_bytes, 'bytes')}. At its own {amount(T.bytes_a_second, 'bytes')} a "
             f"second one courier takes {amount(LIST / T.bytes_a_second, 's')}, or "
             f"{amount(PLACED_EACH * A.name_bytes / T.bytes_a_second, 's')}.", "",
-            f"A region cut off: each side buries the other. {T.region:,} couriers hold {N - T.region:,} for dead and "
+            f"A region whose links are gone for {amount(A.region_link, 's')} (assumed): each side buries the other. "
+            f"{T.region:,} couriers hold {N - T.region:,} for dead and "
             f"these "
             f"hold {T.region:,}; dead ones are tried again one each {members.MEET_EVERY} periods by each courier, and "
             "forgotten after "
-            f"{amount(members.KEEP_DEAD / 1e6, 's')}. Meanwhile each side goes on with its parts of limits.", ""]
+            f"{amount(members.KEEP_DEAD / 1e6, 's')}. Meanwhile each side goes on with its parts of limits, hears no "
+            f"words of the other's, and lends it nothing.",
+            "", f"A datagram has room for {members.ROOM} members, and each courier sends about two a second (one "
+                f"question, "
+            f"one answer): {T.wave} changes at once take {amount(T.wave / members.ROOM / 2, 's')} to be passed on "
+            f"once by "
+            f"each, beside the time above.", ""]
     return ["## What losses cost", "", "Worked out from the slopes above, carried on to the target, and the "
                                        "assumptions.",
             "", *_guarded(lines)]
