A message delivered from a backlog: a slope by open messages, as its cost grows with them

Seen in a profile of a start on 10,000 open messages: a million calls of Controller._worth, 97 for each message, from _slot_time and _pump (snowlock/control.py), which look at the whole queue of a destination each time that a slot is free. message-served has an almost empty queue and does not show it.

Not mended here: the program is left as it is.

--- a/benchmarks/capacity_courier.py
+++ b/benchmarks/capacity_courier.py
@@ -125,39 +125,66 @@
     return time.monotonic() - begin
 
 
-def open_message(size: int, run_: int) -> dict[str, float]:
-    """A start on a journal with so many open messages, and one on an empty one; the next hops do not answer."""
-    place = Place(run_, platform.Manners(silent=1.0))
-    rows = place.rows(HOPS, 1)
+def _backlog(size: int) -> dict[str, Any]:
+    """Configuration of a courier that may hold so many open messages for long."""
     settings = platform.settings(most_open=2 * size)
     for cls in settings["classes"]:
         cls["deadline_ns"] = LASTS * 1_000
-    disk = 10 + size * 4 // 1_000  # MB
-    limits = {"cores": 1.0, "memory_mb": 64, "sockets": 512, "disk_mb": disk}
-    with place.courier(rows, settings=settings, limits=limits) as courier:
+    return {"settings": settings,
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512, "disk_mb": 10 + size * 4 // 1_000}}
+
+
+def _written(folder: str, size: int, dice: random.Random, more: dict[str, Any]) -> int:
+    """Write a journal with so many open messages, an even part of them for each next hop; its size in bytes."""
+    limits = more["limits"], more["settings"]["limits"]
+    journal = Journal(folder, limits[0]["disk_mb"] * 1_000_000, limits[1]["max_attempts"])
+    until = clock() + LASTS
+    for number in range(1, size + 1):
+        text = ujson.dumps({"sender": Notices.name, "trace": f"message-{number}", "dest": number % HOPS,
+                            "key": f"message-{number}", "class": "reading", "tenant": "", "extra": {}})
+        if not journal.taken(number, until, text, dice.randbytes(BODY)):
+            raise NotMeasured(f"no room for open message {number} in a journal on {limits[0]['disk_mb']} MB")
+    return (Path(folder) / "journal").stat().st_size
+
+
+def open_message(size: int, run_: int) -> dict[str, float]:
+    """A start on a journal with so many open messages, and one on an empty one; the next hops do not answer."""
+    place = Place(run_, platform.Manners(silent=1.0))
+    rows, more = place.rows(HOPS, 1), _backlog(size)
+    with place.courier(rows, **more) as courier:
         courier.ready()
         courier.settle()
         empty = courier.memory
     with tempfile.TemporaryDirectory() as folder:
-        journal = Journal(folder, disk * 1_000_000, settings["limits"]["max_attempts"])
-        until = clock() + LASTS
-        for number in range(1, size + 1):
-            text = ujson.dumps({"sender": Notices.name, "trace": f"message-{number}", "dest": number % HOPS,
-                                "key": f"message-{number}", "class": "reading", "tenant": "", "extra": {}})
-            if not journal.taken(number, until, text, place.dice.randbytes(BODY)):
-                raise NotMeasured(f"the journal has no room for open message {number} on {disk} MB")
-        bytes_ = (Path(folder) / "journal").stat().st_size
-        with place.courier(rows, folder, settings=settings, limits=limits) as courier:
+        disk = _written(folder, size, place.dice, more)
+        with place.courier(rows, folder, **more) as courier:
             cpu, wall = courier.ready()
             courier.settle()
             memory = courier.memory
             held = ujson.loads(run(place.loop, courier.get, "/stats")[1])["open"]
             if held != size:
                 raise NotMeasured(f"of {size} messages in the journal {held} are open")
-    return {"memory": memory / MB, "memory-each": (memory - empty) / size, "disk-each": bytes_ / size,
+    return {"memory": memory / MB, "memory-each": (memory - empty) / size, "disk-each": disk / size,
             "start-cpu": cpu, "start-wall": wall}
 
 
+def backlog_served(size: int, run_: int) -> dict[str, float]:
+    """A start on a journal with so many open messages, until half of them are delivered or for a while."""
+    place = _quick(run_)
+    rows, more = place.rows(HOPS, 1), _backlog(size)
+    with tempfile.TemporaryDirectory() as folder:
+        _written(folder, size, place.dice, more)
+        with place.courier(rows, folder, **more) as courier:
+            courier.ready()
+            cost, count, begin = courier.cpu, len(place.seen.answered), time.monotonic()
+            while len(place.seen.answered) < count + size // 2 and time.monotonic() < begin + SPAN / SECOND:
+                wait(place.loop, MS)
+            cost, count, span = courier.cpu - cost, len(place.seen.answered) - count, time.monotonic() - begin
+    if not count:
+        raise NotMeasured(f"none of {size} open messages was delivered in {span:.1f} s")
+    return {"cpu": cost * 1e6 / count, "rate": count / span}
+
+
 def message_served(size: int, run: int) -> dict[str, float]:
     """So many messages a second for a while."""
     place = _quick(run)
@@ -227,6 +254,11 @@
           "journal's own code wrote, limits.max_open raised to twice as many, next hops that do not answer: resident "
           "memory, also over one with an empty journal, bytes of the journal's file, and the time from exec until it "
           "serves; not counted: taking them on over HTTP, and their delivery."),
+    Slope("backlog-served", "open messages", (300, 1_000, 3_000, 10_000, 30_000), {"cpu": "us", "rate": "count"},
+          backlog_served,
+          f"{_WHERE}: processor time of the courier a message that it delivers from so many open ones (class reading, "
+          f"{BODY} bytes, from a journal) to {HOPS} next hops that answer after 10 to 30 ms, and how many it delivers "
+          f"a second, until half are delivered, {SPAN // SECOND} s at most; not counted: the start, and new messages."),
     Slope("message-served", "messages a second offered", (40, 80, 160, 320),
           {"cpu": "us", "taken": "share", "delivered": "share"}, message_served,
           f"{_WHERE}: processor time of the courier a delivered message of class reading with {BODY} bytes, at "
