--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -187,22 +187,31 @@
 
 def measure(wanted: list[Slope], file: Path, pool: Executor) -> None:
     """Every size and run of these; each row is written when it is there."""
-    rows = {row.key: row for row in read(file)}
-    for slope in wanted:  # sizes and runs that the slope no longer has
-        for key in [key for key in rows if key[0] == slope.name]:
-            if key[1] not in slope.sizes or key[2] > slope.runs:
-                del rows[key]
-    at, on = commit(), machine()
+    by_name = {slope.name: slope for slope in wanted}
+
+    def kept() -> dict[tuple[str, int, int], Row]:
+        """Read anew each time, as others may measure; without sizes and runs that a slope no longer has."""
+        return {row.key: row for row in read(file) if row.name not in by_name
+                or row.size in by_name[row.name].sizes and row.run <= by_name[row.name].runs}
+
+    kept()  # a damaged file is told before anything is measured
+    at, on, failed = commit(), machine(), []
     todo = {pool.submit(_one, slope.name, size, run): (slope, size, run)
             for slope in wanted for run in range(1, slope.runs + 1) for size in slope.sizes}
     for done in as_completed(todo):
         slope, size, run = todo[done]
+        try:
+            figures = done.result()
+        except Exception as error:  # whatever it is: the other runs go on
+            failed.append(f"{slope.name}, size {size}, run {run}: {type(error).__name__}: {error}")
+            continue
         now = datetime.now(UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
-        row = Row(slope.name, size, run, slope.setting, now, at, on, done.result())
-        rows[row.key] = row
-        write(file, rows.values())
+        row = Row(slope.name, size, run, slope.setting, now, at, on, figures)
+        write(file, (kept() | {row.key: row}).values())
         shown = ", ".join(f"{figure} {value:g} {slope.figures[figure]}" for figure, value in row.figures.items())
         print(f"{slope.name}, {size} {slope.by}, run {run}: {shown}", flush=True)
+    if failed:
+        raise Fault(f"{len(failed)} runs failed: {'; '.join(failed)}")
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -17,7 +17,6 @@
     FIRST,
     LENT_FROM,
     LIMIT,
-    LIST,
     MEMORY,
     MOST_MEMBERS,
     PLACED_EACH,
@@ -31,6 +30,7 @@
     Role,
     T,
     capacity,
+    listing,
     ranked,
     results,
 )
@@ -353,6 +353,7 @@
         known = reading.at("members-churn", "loss-known", N)
         near = reading.at("members-churn", "loss-known", T.zone)
         say = int(members.TELL * math.log2(N + 2))
+        whole, part = listing(reading, T.destinations), listing(reading, PLACED_EACH)
         told = []
         for what, count, how_often in (
                 ("a machine", A.a_machine, f"{T.machines_lost_a_day} a day"),
@@ -377,13 +378,13 @@
             f"With one restart in {number(T.restart_every)} s, "
             f"{number(_starts(reading, T.destinations) / T.restart_every)} couriers are starting at any time, or "
             f"{number(_starts(reading, PLACED_EACH) / T.restart_every)}.", "",
-            f"A wave of {T.wave} that fetches the list whole moves {amount(T.wave * LIST, 'bytes')}, from "
+            f"A wave of {T.wave} that fetches the list whole moves {amount(T.wave * whole, 'bytes')}, from "
             f"{T.control_a_region} machines of a region "
-            f"{amount(T.wave * LIST / T.control_a_region / A.control_mb / 1e6, 's')}"
+            f"{amount(T.wave * whole / T.control_a_region / A.control_mb / 1e6, 's')}"
             f" at {number(A.control_mb)} MB a second each; with what is placed there "
-            f"{amount(T.wave * PLACED_EACH * A.name_bytes, 'bytes')}. At its own {amount(T.bytes_a_second, 'bytes')} a "
-            f"second one courier takes {amount(LIST / T.bytes_a_second, 's')}, or "
-            f"{amount(PLACED_EACH * A.name_bytes / T.bytes_a_second, 's')}.", "",
+            f"{amount(T.wave * part, 'bytes')}. At its own {amount(T.bytes_a_second, 'bytes')} a "
+            f"second one courier takes {amount(whole / T.bytes_a_second, 's')}, or "
+            f"{amount(part / T.bytes_a_second, 's')}.", "",
             f"A region whose links are gone for {amount(A.region_link, 's')} (assumed): each side buries the other. "
             f"{T.region:,} couriers hold {N - T.region:,} for dead and "
             f"these "
--- a/benchmarks/capacity_roles.py
+++ b/benchmarks/capacity_roles.py
@@ -18,6 +18,7 @@
 from benchmarks.slope import Slope
 from benchmarks.target import ASSUMED as A
 from benchmarks.target import TARGET as T
+from kestrelspar.http.watch import MOST_LINE
 from kestrelspar.peers import counts, seal, shares
 from kestrelspar.peers.link import MOST_TICK
 from kestrelspar.peers.peer import About
@@ -136,12 +137,16 @@
 PLACED_EACH = T.destinations * A.placed / N  # destinations at one courier, once placed
 FAILS = T.events_each * T.down  # calls a second of one courier to what is down, where it knows nothing of it
 LIMIT = A.headroom * T.events_of_one
-LIST = T.destinations * A.name_bytes
 CONTROL, MEMORY, BYTES = "processor time of control", "memory of control", "bytes a second of control"
 CODE = "bound in the code"
 REST = T.control_machines - T.control_a_region  # control machines when a region's are gone
 
 
+def listing(r: Reading, count: float) -> float:
+    """Bytes of a list with so many endpoints, on the wire."""
+    return r.each("list-again", "wire", count)
+
+
 def capacity(r: Reading) -> float:
     """Messages a second that a core of a courier serves beside control."""
     return (1 - T.core) * 1e6 / r.at("message-served", "cpu", T.events_each)
@@ -222,7 +227,17 @@
     Row(Role.COURIER, "time", "a start with that list", "listed.start-wall at all destinations",
         lambda r: r.at("listed", "start-wall", T.destinations), "s", A.restart_in, "assumed", By.LISTS,
         lambda r: r.at("listed", "start-wall", PLACED_EACH)),
-    Row(Role.COURIER, "processor time", "changes of the list heard",
+    Row(Role.COURIER, "state", "a list told whole: the longest line that is read",
+        "destinations x what each adds to list-again.wire", lambda r: listing(r, T.destinations), "bytes", MOST_LINE,
+        f"{CODE}: a longer one breaks the watch off (`watch.MOST_LINE`)", By.LISTS,
+        lambda r: listing(r, PLACED_EACH)),
+    Row(Role.COURIER, "processor time", "changes of the list heard, where each is told as the whole list",
+        "changes a second x list-again.hearer at all destinations",
+        lambda r: T.changes_a_second * r.at("list-again", "hearer", T.destinations) / 1e3, "ms", T.processor_ms,
+        CONTROL, By.LISTS,
+        lambda r: T.changes_a_second * A.placed / N * r.at("list-change", "hearer", PLACED_EACH) / 1e3,
+        "discovery told whole lists, and they were read"),
+    Row(Role.COURIER, "processor time", "changes of the list heard, where each is told alone",
         "changes a second x list-change.hearer at all destinations",
         lambda r: T.changes_a_second * r.at("list-change", "hearer", T.destinations) / 1e3, "ms", T.processor_ms,
         CONTROL, By.LISTS,
@@ -260,12 +275,14 @@
         supposed="clients knew all couriers"),
     # Who tells
     Row(Role.TELLER, "messages", "the whole list told to one courier, at its bytes a second",
-        "destinations x bytes of one, over bytes a second of control", lambda r: LIST / T.bytes_a_second, "s",
-        A.restart_in, "assumed", By.LISTS, lambda r: PLACED_EACH * A.name_bytes / T.bytes_a_second),
+        "destinations x what each adds to list-again.wire, over bytes a second of control",
+        lambda r: listing(r, T.destinations) / T.bytes_a_second, "s", A.restart_in, "assumed", By.LISTS,
+        lambda r: listing(r, PLACED_EACH) / T.bytes_a_second),
     Row(Role.TELLER, "messages", "the whole list told to a wave, by one region's control machines",
-        "wave x destinations x bytes of one, over machines and their bytes a second",
-        lambda r: T.wave * LIST / T.control_a_region / (A.control_mb * 1e6), "s", A.spread, "assumed", By.LISTS,
-        lambda r: T.wave * PLACED_EACH * A.name_bytes / T.control_a_region / (A.control_mb * 1e6)),
+        "wave x destinations x what each adds to list-again.wire, over machines and their bytes a second",
+        lambda r: T.wave * listing(r, T.destinations) / T.control_a_region / (A.control_mb * 1e6), "s", A.spread,
+        "assumed", By.LISTS,
+        lambda r: T.wave * listing(r, PLACED_EACH) / T.control_a_region / (A.control_mb * 1e6)),
     Row(Role.TELLER, "processor time", "changes told to each courier by one control machine",
         "changes a second x couriers of one machine x list-change.teller at all destinations",
         lambda r: T.changes_a_second * T.couriers_a_control * r.at("list-change", "teller", T.destinations) / 1e3, "ms",
--- a/benchmarks/target.py
+++ b/benchmarks/target.py
@@ -104,7 +104,6 @@
     rack: int = 20  # couriers behind one switch
     a_machine: int = 1  # couriers of one machine
     calls_out: int = 100  # connections that a member system bears from all couriers together
-    name_bytes: int = 40  # of an endpoint's name with address, as told by a list
     region_link: int = 300  # seconds that regions lose each other: "minutes"
     burst_changes: int = 1_000  # of configuration told within one second: a roll-out to many destinations
     work_mb: float = 1_000.0  # of a courier, for messages
@@ -121,7 +120,6 @@
         "rack": "couriers behind one switch",
         "a_machine": "couriers on one machine",
         "calls_out": "connections that one member system bears from all couriers together",
-        "name_bytes": "bytes of a listed endpoint on the wire: name, address, state",
         "region_link": "seconds for which two regions lose each other ('minutes')",
         "burst_changes": "changes of configuration told within one second; the users name no burst yet",
         "work_mb": "MB of a courier that its messages may take; the users name a bound for control only",
