--- a/benchmarks/capacity_peers.py
+++ b/benchmarks/capacity_peers.py
@@ -29,6 +29,7 @@
 KEY = b"a key for the couriers played ..."[:32]
 STARTS, JOINED, REST = 20 * SECOND, 60 * SECOND, 20 * SECOND
 SETTLE, CHURN, RESTART_EVERY = 5 * SECOND, 40 * SECOND, 5 * SECOND
+WAVE_FOR = 40 * SECOND
 ALONE = 60 * SECOND
 WORD_FOR = 5 * SECOND
 MOST = 1 << 20  # times told: no news any more
@@ -115,6 +116,41 @@
             "loss-known": ((known or net.now) - begin) / SECOND, "wrongly-dead": float(wrong)}
 
 
+def wave(size: int, seed: int) -> dict[str, float]:
+    """All know all; the target's part of the couriers ends at once, and all of them start a second later."""
+    net = Net(size, seed, Faults(), seeds=5, bytes_a_second=TARGET.bytes_a_second)
+    _told_all(net)
+    net.run(SETTLE)
+    count = max(1, round(size * TARGET.wave / TARGET.couriers))
+    names = list(net.nodes)
+    gone, others = names[-count:], names[:-count]
+    for name in gone:
+        net.kill(name)
+        net.at(net.now + SECOND, lambda name=name: net.start(name))  # type: ignore[misc]
+    began = net.now
+    before = {name: node.peer.sent for name, node in net.nodes.items() if node.peer is not None}
+    held_back = sum(node.peer.held_back for node in net.nodes.values() if node.peer is not None)
+    known = joined = 0
+    while net.now < began + WAVE_FOR:
+        net.run(net.now + 200 * MS)
+        peers = {name: node.peer for name, node in net.nodes.items() if node.peer is not None}
+        if not known and len(peers) == size:
+            heard = sum(_holds(peers[other], name, net.nodes[name].life) for name in gone for other in others)
+            known = net.now if heard >= EVERYBODY * len(gone) * len(others) else 0
+        if not joined and len(peers) == size:
+            knows = sum(len(peers[name].members.alive()) for name in gone)
+            joined = net.now if knows >= EVERYBODY * len(gone) * (size - 1) else 0
+    sent = sum(peer.sent - before.get(name, 0) for name, peer in peers.items())
+    return {"known": ((known or net.now) - began) / SECOND, "joined": ((joined or net.now) - began) / SECOND,
+            "sent": sent / (size * WAVE_FOR / SECOND),
+            "held-back": float(sum(peer.held_back for peer in peers.values()) - held_back)}
+
+
+def _holds(peer: Peer, name: str, life: int) -> bool:
+    held = peer.members.members.get(name)
+    return held is not None and held.said.life == life and held.said.stand is Stand.ALIVE
+
+
 def _held_dead(net: Net, lost: str) -> int:
     count = 0
     for node in net.nodes.values():
@@ -384,6 +420,12 @@
           "All told of all; one ends for good, and one is started again every 5 s, for 40 s: bytes and processor time "
           "a second by each, and the time until 99 % hold the lost one for dead; the modelled network",
           setting=MODELLED),
+    Slope("members-wave", "members", NET, {"known": "s", "joined": "s", "sent": "bytes", "held-back": "count"}, wave,
+          "All told of all; one in twenty ends at once and all of these start a second later: time until 99 % of what "
+          "the "
+          "others hold of them is new, time until they know 99 % of all (40 s: not within these), bytes a second by "
+          "each "
+          "in 40 s, datagrams held back; the modelled network", setting=MODELLED),
     Slope("member-alone", "members", HELD, {"memory": "MB", "processor": "ms", "sent": "bytes"}, alone,
           "One whole courier's modules that know so many members (the bound on members raised), among others that are "
           "only played, 60 s at the target's rate of restarts: memory held, processor time and bytes a second",
