--- a/kestrelspar/peers/link.py
+++ b/kestrelspar/peers/link.py
@@ -59,7 +59,7 @@
         self._socket.setblocking(False)
         self._socket.bind(told.listen)
         terms = Terms(settings.forwarders, settings.number, told.term, told.drift / 1_000)
-        about = About(name, told.listen, self.life, keys(secrets), dict(told.seed), terms, told.bytes_per_second,
+        about = About(name, told.told(), self.life, keys(secrets), dict(told.seed), terms, told.bytes_per_second,
                       told.period)
         # Before the first word: a life that was heard must not come again.
         self._found.life = self.life
--- a/kestrelspar/settings/schema.py
+++ b/kestrelspar/settings/schema.py
@@ -263,7 +263,9 @@
 
     TITLE: ClassVar[str] = "peers"
     enabled: Annotated[bool, switch("whether this courier talks to others")] = False
-    listen: Annotated[Address, address("where datagrams arrive (UDP), and what others are told")] = ("127.0.0.1", 2770)
+    listen: Annotated[Address, address("where datagrams arrive (UDP)")] = ("127.0.0.1", 2770)
+    advertise: Annotated[tuple[Address, ...], address("what others are told, where that is not the address listened "
+                                                      "on: behind NAT or a relay; one at most")] = ()
     seed: Annotated[dict[str, Address], address("a courier that is asked first, by its name; its address here goes "
                                                 "before what is said of it")] = {}
     key_file: Annotated[tuple[str, ...], secret("the key that all couriers have, 16 bytes of text or more; a second "
@@ -289,8 +291,14 @@
         found = []
         if not 1 <= len(self.key_file) <= 2:
             found.append(("key-file", f"names {len(self.key_file)} files (wanted: the key's, or two while it changes)"))
+        if len(self.advertise) > 1:
+            found.append(("advertise", "names more than one address (wanted: one HOST:PORT)"))
         return found
 
+    def told(self) -> Address:
+        """The address that others are told."""
+        return self.advertise[0] if self.advertise else self.listen
+
 
 SECTIONS: dict[str, type[Section]] = {
     struct.TITLE: struct for struct in (Log, Plugins, Map, Tls, Registry, Smpp, SmppAccount, SmppGateway, Peers)
--- a/tests/settings/test_conf.py
+++ b/tests/settings/test_conf.py
@@ -89,6 +89,15 @@
         resolve.smpp(conf.load(written(tmp_path, account.format("raeding"))), module_settings())
 
 
+def test_others_are_told_the_address_that_is_listened_on_or_one_of_its_own(tmp_path: Path) -> None:
+    base = "peers\n  enabled on\n  key-file pw\n  listen 127.0.0.1:9001\n"
+    assert conf.load(written(tmp_path, base)).one(schema.Peers).told() == ("127.0.0.1", 9001)
+    told = conf.load(written(tmp_path, base + "  advertise 10.0.0.7:9002\n")).one(schema.Peers)
+    assert told.told() == ("10.0.0.7", 9002) and told.listen == ("127.0.0.1", 9001)
+    with pytest.raises(ConfFaults, match=r"k.conf:\d: peers.advertise: names more than one address"):
+        conf.load(written(tmp_path, base + "  advertise 10.0.0.7:9002 10.0.0.7:9003\n"))
+
+
 def test_the_deployed_file_leaves_everything_off() -> None:
     told = conf.load(str(ROOT / "deploy" / "kestrelspar.conf"))
     assert resolve.smpp(told, module_settings()) is None and not resolve.registries(told)
