kestrelspar lab scale: real couriers beside hollow ones in zones behind relays, under a fault

A plan refuses what is above 12 GB, 200 processes or the descriptors of a process, with all that is wrong at once and exit code 2; the same bounds are looked at each second while it runs. The play starts relays, hosts of hollow couriers and real ones, waits until they are known, measures at rest, injects the fault by name, and measures until what is so is known by 99 %. Judges: ends of messages, calls of hollow couriers in any span against the budgets, member systems' limits, who is not known. What could not keep up with real time is named. The rig can be without wires, with couriers beyond its own that are told by relays.

--- a/kestrelspar/cli/lab.py
+++ b/kestrelspar/cli/lab.py
@@ -12,8 +12,10 @@
 from rich.table import Table
 
 from kestrelspar.cli.main import BadConfiguration, Fault
+from kestrelspar.cli.units import DURATION
 from kestrelspar.lab import play as lab
-from kestrelspar.lab import scenario
+from kestrelspar.lab import scale, scenario
+from kestrelspar.lab.plan import FAULTS, Asked, plan
 
 
 @click.group("lab")
@@ -67,6 +69,98 @@
     console.print(f"{report['served']:.1%} of the messages ran; no fault found.")
 
 
+@verb.command("scale")
+@click.option("--real", type=click.IntRange(0), default=2, show_default=True, help="Processes of the program.")
+@click.option("--hollow", default="50", show_default=True, metavar="N[,N...]",
+              help="Hollow couriers; with several numbers one play each, for slopes.")
+@click.option("--zones", type=click.IntRange(1), default=2, show_default=True, help="Groups, each behind a relay.")
+@click.option("--grouped/--whole", default=False, help="Whether couriers know only those of their own zone.")
+@click.option("--for", "span", type=DURATION, default="30s", show_default=True,
+              help="How long it is measured: a third of it at rest before a fault.")
+@click.option("--seed", type=int, default=1, show_default=True, help="For all that is drawn at random.")
+@click.option("--fault", default="none", show_default=True, metavar="NAME", help=", ".join(FAULTS) + ".")
+@click.option("--rate", type=click.FloatRange(0, 1000), default=1.0, show_default=True,
+              help="Messages a second at a hollow courier.")
+@click.option("--period", type=DURATION, default="1s", show_default=True, help="Between questions to members.")
+@click.option("--compare", is_flag=True, help="No messages, and real couriers without peers beside: hollow over real.")
+@click.option("--json", "out", type=click.Path(dir_okay=False), help="Write the whole report here, as JSON.")
+@click.option("--page", "site", type=click.Path(dir_okay=False), help="Write it here, as a page with charts.")
+def scale_verb(real: int, hollow: str, zones: int, grouped: bool, span: int, seed: int, fault: str, rate: float,
+               period: int, compare: bool, out: str | None, site: str | None) -> None:
+    """Real couriers beside hollow ones, in zones behind relays, under a fault.
+
+    A hollow courier is all that couriers share, over real datagrams, with drawn calls and no messages: hundreds share a
+    process. Figures that could not keep up with real time are marked. Under 12 GB and 200 processes, whatever is asked.
+    Exit code 1 if a judge found a fault, 2 if what was asked for is too much, 130 or 143 after a signal.
+
+    \b
+    Example:
+      kestrelspar lab scale --real 4 --hollow 50,100,200 --zones 4 --fault kill --page scale.html
+    """
+    console = Console()
+    plays: list[dict[str, Any]] = []
+    report: dict[str, Any] = {"machine": scale.machine(), "plays": plays}
+    try:
+        every = [Asked(real, int(number), zones, span, seed, fault, grouped, 0.0 if compare else rate, period)
+                 for number in hollow.split(",")]
+        for asked in every:  # all of them, before the first is started
+            plan(asked, scale.bounds())
+        for asked in every:
+            with tempfile.TemporaryDirectory(prefix="kestrelspar-lab-") as folder, console.status("") as status:
+                plays.append(scale.play(asked, Path(folder), scale.bounds(), lambda text: status.update(text), compare))
+            console.print(_line(plays[-1]))
+    except ValueError as error:
+        raise BadConfiguration(error) from error
+    except (TimeoutError, RuntimeError) as error:
+        raise Fault(str(error)) from error
+    except scale.Stopped as stopped:
+        click.echo("ended", err=True)
+        raise SystemExit(128 + stopped.args[0]) from None
+    if compare:
+        report["factors"] = scale.factors(plays[-1])
+    if out:
+        Path(out).write_text(ujson.dumps(report, indent=1) + "\n")
+    if site:
+        from kestrelspar.lab.page import scale_page
+
+        Path(site).write_text(scale_page(report))
+    console.print(_slopes(plays))
+    for name, factor in report.get("factors", {}).items():
+        console.print(f"hollow over real, {name}: {factor:.2f}")
+    found = [f"{play['couriers']} couriers: {line}" for play in plays for line in play["findings"]]
+    for play in plays:
+        for line in play["saturated"]:
+            console.print(f"saturated at {play['couriers']} couriers: {line}")
+    for line in found:
+        click.echo(line, err=True)
+    if found:
+        raise Fault(f"{len(found)} findings")
+    console.print("The judges found nothing.")
+
+
+def _line(play: dict[str, Any]) -> str:
+    return (f"{play['real']} real and {play['hollow']} hollow: known after {play['known_s']} s, {play['processes']} "
+            f"processes, {play['memory_mb']} MB" + (f", {play['fault_name']} over after {play['settled_s']} s"
+                                                    if play["fault_name"] != "none" else ""))
+
+
+def _slopes(plays: list[dict[str, Any]]) -> Table:
+    """A row for each size: at rest, and in the fault."""
+    table = Table(title="By size; of a courier and second: CPU in ms and bytes sent, hollow / real; busiest of a core")
+    for name in ("N", "from", "phase", "CPU", "bytes", "datagrams", "held", "host", "relay", "late ms"):
+        table.add_column(name, justify="right")
+    for play in plays:
+        for key in ("rest", "fault"):
+            row = play.get(key)
+            if row:
+                table.add_row(str(play["couriers"]), play["from"], key if key == "rest" else play["fault_name"],
+                              f"{row['cpu_ms_a_hollow']:.2f} / {row['cpu_ms_a_real']:.2f}",
+                              f"{row['bytes_a_hollow']} / {row['bytes_a_real']}", str(row["datagrams_a_s"]),
+                              f"{row['held_back_a_s']:.0f}", f"{row['busiest_host']:.2f}",
+                              f"{row['busiest_relay']:.2f}", f"{row['latest_tick_ms']:.0f}")
+    return table
+
+
 def _tables(report: dict[str, Any]) -> list[Table]:
     found = []
     for title, rows in (("Member systems", report["members"]), ("Couriers", report["couriers"])):
--- a/kestrelspar/lab/rig.py
+++ b/kestrelspar/lab/rig.py
@@ -246,13 +246,28 @@
                 return address
 
 
+@dataclass
+class Beyond:
+    """Couriers beside the rig's own, all behind relays: what the rig's are told instead of its own wires."""
+
+    couriers: int  # in all
+    advertise: dict[str, tuple[str, int]] = field(default_factory=dict)  # by courier: its relay
+    seeds: dict[str, dict[str, tuple[str, int]]] = field(default_factory=dict)  # by courier
+    period: str = "1s"
+    term: str = "3s"
+
+
 class Rig:
     """The processes, what is between them, and what was received. To be used in a ``with``: it ends what it began."""
 
     def __init__(self, folder: Path, couriers: int, seed: int, limits: dict[str, int], peers: bool = True,
                  pace: int = 20 * MS, conf: str = "", spend: int = 90,
-                 groups: dict[str, int] | None = None) -> None:
-        """``limits`` by member system; ``groups``: its destination's number, where several have one."""
+                 groups: dict[str, int] | None = None, beyond: Beyond | None = None) -> None:
+        """``limits`` by member system; ``groups``: its destination's number, where several have one.
+
+        With ``beyond`` there are no wires: what it tells must be there when a courier is started.
+        """
+        self.beyond = beyond
         self.folder, self.seed, self.conf, self.spend, self.peers = folder, seed, conf, spend, peers
         self.loop, self.pick = Noted(), random.Random(seed)
         self.buffers = BufferPool(2048)
@@ -271,7 +286,8 @@
             (folder / name).mkdir()
             self.nodes[name] = Node(name, number, ports.free(socket.SOCK_STREAM), ports.free(socket.SOCK_DGRAM),
                                     folder / name)
-        self.wires = {(a, b): Wire(self.loop, a, b, self.pick) for a in self.nodes for b in self.nodes if a != b}
+        self.wires = {(a, b): Wire(self.loop, a, b, self.pick)
+                      for a in self.nodes for b in self.nodes if a != b and beyond is None}
         for (_, to), wire in self.wires.items():
             wire.target = self.nodes[to].peers
         self.program = [sys.executable, "-m", "kestrelspar"]  # a test may start one that is broken on purpose
@@ -302,7 +318,8 @@
         told = platform.configuration("{}:{}".format(*node.listen), self.discovery.address, str(state), name=name)
         told["seed"] = f"{self.seed * 1000 + node.number:x}"
         told["known"]["endpoints"] = self.discovery.rows
-        told["settings"] |= {"n_instances": len(self.nodes), "my_number": node.number,
+        couriers = self.beyond.couriers if self.beyond else len(self.nodes)
+        told["settings"] |= {"n_instances": couriers, "my_number": node.number,
                              "load_report": {"how": "inline", "columns": ["x0", "x1"]}}
         (node.folder / "config.json").write_text(ujson.dumps(told))
         self._configure(node, self.peers if peers is None else peers, [KEY])
@@ -320,13 +337,18 @@
         for number, key in enumerate(keys):
             (node.folder / f"key{number}").write_text(key)
             (node.folder / f"key{number}").chmod(0o600)
-        seeds = "".join(f"    seed {to} {wire.address[0]}:{wire.address[1]}\n"
-                        for (sender, to), wire in self.wires.items() if sender == node.name)
+        told = {to: wire.address for (sender, to), wire in self.wires.items() if sender == node.name}
+        period, term, advertise = "300ms", "2s", ""
+        if self.beyond is not None:
+            told, period, term = self.beyond.seeds.get(node.name, {}), self.beyond.period, self.beyond.term
+            if node.name in self.beyond.advertise:
+                advertise = "    advertise {}:{}\n".format(*self.beyond.advertise[node.name])
+        seeds = "".join(f"    seed {to} {address[0]}:{address[1]}\n" for to, address in told.items())
         files = " ".join(f"key{number}" for number in range(len(keys)))
         (node.folder / "k.conf").write_text(
             f"log\n    level debug\npeers\n    enabled {'on' if peers else 'off'}\n"
-            f"    listen {node.peers[0]}:{node.peers[1]}\n    key-file {files}\n    period 300ms\n    term 2s\n"
-            f"    spend {self.spend}\n{seeds}{self.conf}")
+            f"    listen {node.peers[0]}:{node.peers[1]}\n{advertise}    key-file {files}\n    period {period}\n"
+            f"    term {term}\n    spend {self.spend}\n{seeds}{self.conf}")
 
     def reload(self, name: str, keys: list[str], peers: bool = True) -> None:
         """Other keys, the one that seals first, or peers off: SIGHUP."""
