--- a/kestrelspar/cli/lab.py
+++ b/kestrelspar/cli/lab.py
@@ -146,15 +146,18 @@
 
 def _slopes(plays: list[dict[str, Any]]) -> Table:
     """A row for each size: at rest, and in the fault."""
-    table = Table(title="By size; of a courier and second: CPU in ms and bytes sent, hollow / real; busiest of a core")
-    for name in ("N", "from", "phase", "CPU", "bytes", "datagrams", "held", "host", "relay", "late ms"):
-        table.add_column(name, justify="right")
+    table = Table(padding=0, title="By size; of a courier and second: CPU in ms (hollow / in a process of its own / "
+                                   "real), bytes sent (hollow / real); busiest of a core; latest tick in ms")
+    for name in ("N", "from", "phase", "CPU", "bytes", "relayed", "held", "host", "relay", "late"):
+        table.add_column(name, justify="right", no_wrap=True)
     for play in plays:
         for key in ("rest", "fault"):
             row = play.get(key)
             if row:
-                table.add_row(str(play["couriers"]), play["from"], key if key == "rest" else play["fault_name"],
-                              f"{row['cpu_ms_a_hollow']:.2f} / {row['cpu_ms_a_real']:.2f}",
+                table.add_row(str(play["couriers"]), play["from"].split()[0],
+                              key if key == "rest" else play["fault_name"],
+                              " / ".join(f"{row[name]:.1f}" for name in (
+                                  "cpu_ms_a_hollow", "cpu_ms_a_hollow_alone", "cpu_ms_a_real")),
                               f"{row['bytes_a_hollow']} / {row['bytes_a_real']}", str(row["datagrams_a_s"]),
                               f"{row['held_back_a_s']:.0f}", f"{row['busiest_host']:.2f}",
                               f"{row['busiest_relay']:.2f}", f"{row['latest_tick_ms']:.0f}")
