Settings for groups, regions and brokers in section peers, each fault by its line

A courier is to be told its group and region, and where the brokers of all regions are; a broker reads the same section. Checked also where peers are off, as a broker process reads them then: no region, a region without a broker, a name without its region, two of one address, no words. A repeated key's faults named the last of its lines; now the line of the name that is at fault.

Seen on the way: config show ran a key of 18 characters or more into its value (broker-bytes-per-second, outbind-password-file), so what it printed could not be read again. A round trip of the section peers holds it.

--- a/kestrelspar/settings/conf.py
+++ b/kestrelspar/settings/conf.py
@@ -69,7 +69,7 @@
     label: str
     values: Section
     place: Place
-    places: dict[str, Place]  # by key
+    places: dict[str, Place]  # by key, and of one that is repeated with names also by `key NAME`
 
     def fault(self, key: str, text: str) -> Fault:
         """A fault found later in this section's key."""
@@ -155,6 +155,8 @@
                                                                   f"{places[key.name]})"))
             continue
         places[key.name] = line.place
+        if key.shape == "named" and line.words:  # each of its lines may be at fault by itself
+            places[f"{key.name} {line.words[0]}"] = line.place
         try:
             values[key.field] = _value(key, line, values.get(key.field))
         except ValueError as error:
--- a/kestrelspar/settings/pages.py
+++ b/kestrelspar/settings/pages.py
@@ -84,7 +84,7 @@
             parts.append(f"{title} {lines.quoted(label)}" if label else title)
             for key, written, is_default in shown(section, values):
                 if not (only_set and is_default):
-                    parts += [f"    {key.name:<18}{row}{'    # default' if is_default else ''}"
+                    parts += [f"    {key.name:<17} {row}{'    # default' if is_default else ''}"
                               for row in written]
             parts.append("")
     return "\n".join(parts)
--- a/kestrelspar/settings/schema.py
+++ b/kestrelspar/settings/schema.py
@@ -28,6 +28,7 @@
 
 Address = tuple[str, int]
 HOUR = 3_600 * SECOND
+MOST_NAME = 60  # characters of a courier's or broker's name in a datagram
 
 
 class Section(Struct, frozen=True, kw_only=True):
@@ -268,6 +269,14 @@
                                                 "before what is said of it")] = {}
     key_file: Annotated[tuple[str, ...], secret("the key that all couriers have, 16 bytes of text or more; a second "
                                                 "one is understood too, while keys are changed")] = ()
+    group: Annotated[str, text("the couriers that this one knows all of and shares budgets with; by default all are "
+                               "one group", 60)] = ""
+    region: Annotated[str, text("where it stands: its brokers are those of this region", MOST_NAME - 2)] = ""
+    broker: Annotated[dict[str, Address], address("a process that passes on what couriers saw of endpoints, by "
+                                                  "REGION/NAME; those of all regions, the same at all couriers and "
+                                                  "brokers")] = {}
+    broker_bytes_per_second: Annotated[int, size("what a broker sends at most, whatever happens", 10_000,
+                                                 1_000_000_000)] = 1_000_000
     bytes_per_second: Annotated[int, size("what it sends at most, whatever happens", 2_000, 1_000_000_000)] = 20_000
     period: Annotated[int, duration("how often one of the others is asked whether it is there",
                                     100 * MS, 60 * SECOND)] = SECOND
@@ -283,14 +292,37 @@
                                 100)] = 50
 
     def wrong(self) -> list[tuple[str, str]]:
-        """Half a section, and keys that nobody could change."""
-        if not self.enabled:
-            return []
-        found = []
-        if not 1 <= len(self.key_file) <= 2:
+        """Half a section, and keys that nobody could change; and brokers, which read them also where this is off."""
+        found = self._wrong_brokers()
+        if self.enabled and not 1 <= len(self.key_file) <= 2:
             found.append(("key-file", f"names {len(self.key_file)} files (wanted: the key's, or two while it changes)"))
         return found
 
+    def _wrong_brokers(self) -> list[tuple[str, str]]:
+        """What would leave a courier without the brokers that are meant for it."""
+        found = []
+        for key, word in (("group", self.group), ("region", self.region)):
+            if word != "".join(word.split()) or not word.isprintable() or "/" in word:
+                found.append((key, f"{word!r:.60} is no word (wanted: no blanks, and no /)"))
+        taken: dict[Address, str] = {}
+        regions = []
+        for name, where in self.broker.items():
+            region, slash, rest = name.partition("/")
+            if not (region and slash and rest) or "/" in rest or len(name) > MOST_NAME:
+                found.append((f"broker {name}", f"is no name of a broker (wanted: REGION/NAME, at most {MOST_NAME} "
+                                                "characters)"))
+            elif region not in regions:
+                regions.append(region)
+            if taken.setdefault(where, name) != name:
+                found.append((f"broker {name}", f"has the address of {taken[where]}"))
+        if not self.region and (self.group or self.broker):
+            found.append(("group" if self.group else "broker", "needs a region (wanted: key region"
+                          + (f", one of {', '.join(regions)})" if regions else ")")))
+        elif self.broker and self.region not in regions:
+            found.append(("region", f"has no broker (wanted: one of {', '.join(regions) or 'some'}, or a line broker "
+                                    f"{self.region}/NAME)"))
+        return found
+
 
 SECTIONS: dict[str, type[Section]] = {
     struct.TITLE: struct for struct in (Log, Plugins, Map, Tls, Registry, Smpp, SmppAccount, SmppGateway, Peers)
--- a/tests/settings/test_conf.py
+++ b/tests/settings/test_conf.py
@@ -68,12 +68,33 @@
     (REGISTRY + "  username u\n  password-file none\n", ["k.conf:6: registry main.password-file:", "No such file"]),
     (REGISTRY + "  username u\n  password-file k.conf\n", ["may be read by others, mode 644 (wanted: 600 or less)"]),
     ("smpp\n  service-type RD\n", ["k.conf:2: smpp.service-type: has 1 words, a name and a value"]),
+    ("peers\n  group a\n", ["k.conf:2: peers.group: needs a region (wanted: key region)"]),
+    ("peers\n  broker eu/a 127.0.0.1:1\n", ["k.conf:2: peers.broker: needs a region (wanted: key region, one of eu)"]),
+    ("peers\n  region eu\n  broker eu/a 127.0.0.1:1\n  broker b 127.0.0.1:1\n  broker us/c 127.0.0.1:1\n", [
+        "k.conf:4: peers.broker b: is no name of a broker (wanted: REGION/NAME, at most 60 characters)",
+        "k.conf:4: peers.broker b: has the address of eu/a", "k.conf:5: peers.broker us/c: has the address of eu/a"]),
+    ("peers\n  region su\n  group a/b\n  broker eu/a 127.0.0.1:1\n  broker us/a 127.0.0.1:2\n", [
+        "k.conf:2: peers.region: has no broker (wanted: one of eu, us, or a line broker su/NAME)",
+        "k.conf:3: peers.group: 'a/b' is no word"]),
+    (f"peers\n  region {'e' * 59}\n", ["k.conf:2: peers.region:", "has 59 bytes (wanted: text of 0 to 58 bytes)"]),
+    ("peers\n  broker eu/a 10.0.0.1:1\n  broker eu/a 10.0.0.1:2\n", ["conf:3: peers.broker: 'eu/a' is set a second"]),
 ])
 def test_each_fault_names_file_line_and_key(tmp_path: Path, text: str, told: list[str]) -> None:
     found = "\n".join(faults(tmp_path, text))
     assert [part for part in told if part not in found] == [], found
 
 
+def test_groups_regions_and_brokers_are_read_and_shown_as_written(tmp_path: Path) -> None:
+    text = "peers\n  region eu\n  group z1\n  broker eu/a 10.0.0.1:2771\n  broker us/b 10.0.0.2:2771\n"
+    found = conf.load(written(tmp_path, text))
+    told = found.one(schema.Peers)
+    assert (told.region, told.group, told.enabled) == ("eu", "z1", False)
+    assert told.broker == {"eu/a": ("10.0.0.1", 2771), "us/b": ("10.0.0.2", 2771)}
+    assert conf.load(written(tmp_path, pages.conf_text(found))).one(schema.Peers) == told
+    alone = conf.load(written(tmp_path, "peers\n  region eu\n  group z1\n")).one(schema.Peers)
+    assert alone.group == "z1" and not alone.broker, "groups do without brokers"
+
+
 def test_all_faults_of_all_files_come_at_once_and_in_order(tmp_path: Path) -> None:
     (tmp_path / "more.conf").write_text("plugins\n  enabled perhaps\n")
     found = faults(tmp_path, "log\n  format xml\n  level loud\ninclude more.conf\nsmp\n")
