Signals as bytes in a module of their own, and what is kept told apart from its log line

A broker process is to hear SIGTERM and SIGHUP as a courier does, without importing a courier, and must tell a state folder that is full (it serves on) from one that can't be written (it does not start).

--- a/kestrelspar/peers/kept.py
+++ b/kestrelspar/peers/kept.py
@@ -37,16 +37,21 @@
 def write(file: Path, kept: Kept) -> bool:
     """Keep it, aside and renamed; false where the disk refuses."""
     try:
-        data = msgspec.json.encode(kept)
-        if len(data) > MOST:
-            raise OSError(f"larger than {MOST} bytes")
-        files.replace(file, data)
+        put(file, kept)
     except OSError as error:
         logs.warn("peers-not-kept", file=file.name, why=str(error))
         return False
     return True
 
 
+def put(file: Path, kept: Kept) -> None:
+    """The same; ``OSError`` where the disk refuses."""
+    data = msgspec.json.encode(kept)
+    if len(data) > MOST:
+        raise OSError(f"larger than {MOST} bytes")
+    files.replace(file, data)
+
+
 def next_life(kept: Kept) -> int:
     """Larger at each start, also where the folder was lost: the clock's milliseconds, or one more than before."""
     return max(kept.life + 1, time.time_ns() // 1_000_000)
--- a/kestrelspar/serve.py
+++ b/kestrelspar/serve.py
@@ -22,7 +22,7 @@
 from kestrelspar.journal import Journal
 from kestrelspar.journal.left import Left
 from kestrelspar.registry import keep
-from kestrelspar.runtime import heap, logs
+from kestrelspar.runtime import heap, logs, signals
 from kestrelspar.runtime.buffers import SIZE, BufferPool
 from kestrelspar.runtime.loop import BACKLOG, MS, Loop, bind
 from kestrelspar.settings import conf as conf_file
@@ -43,34 +43,6 @@
 LATER = ("name", "listen", "state", "sockets", "memory", "disk_bytes", "settings")  # read at the start only
 
 
-def _ear() -> socket.socket:
-    """What hears the signals: each comes as a byte, so that a task and not a handler heeds it.
-
-    One that comes while the program starts waits there.
-    """
-    ear, mouth = socket.socketpair()
-    for end in (ear, mouth):
-        end.setblocking(False)
-    wakeup = mouth.detach()  # owned by the process: closed with its socket object, its other end would wake
-    signal.set_wakeup_fd(wakeup, warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, lambda *_: None)
-    return ear
-
-
-def _heed(loop: Loop, ear: socket.socket, calls: Mapping[int, Callable[[], None]]) -> None:
-    """Do what the signals ask for, each in a task of its own: a fault in one leaves the others."""
-    while True:
-        loop.readable(ear, None)
-        try:
-            numbers = ear.recv(64)
-        except BlockingIOError:
-            continue
-        for number in numbers:
-            if number in calls:
-                loop.spawn(calls[number])
-
-
 class Told:
     """Everything that the program is told at its start; ``ValueError`` says all that will not do."""
 
@@ -218,7 +190,7 @@
 
 def main(environment: Mapping[str, str] = os.environ) -> int:
     """Serve; exit code 0 after SIGTERM, 2 for a configuration or an address that will not do."""
-    ear = _ear()
+    ear = signals.ear()
     heap.hold()  # a long list makes no cycles, and passes over it took half of the start
     try:
         all_told = Told(environment)
@@ -274,7 +246,7 @@
     kept += registries.descriptors
     server = SenderServer(loop, buffers, courier, notices, max(LEAST_CLIENTS, told.sockets - kept))
     watch = Watch(loop, buffers, courier, carrier, told.discovery, told.seed, told.state)
-    loop.spawn(_heed, loop, ear, {
+    loop.spawn(signals.heed, loop, ear, {
         signal.SIGTERM: courier.close, signal.SIGINT: courier.close,
         signal.SIGHUP: partial(_reload, environment, all_told, watch, notices, registries, link),
     })
