--- a/kestrelspar/peers/peer.py
+++ b/kestrelspar/peers/peer.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 from random import Random
+from typing import Any
 
+from kestrelspar.peers.brokers import Subscriber, of_region
 from kestrelspar.peers.counts import Counts
 from kestrelspar.peers.judgements import Judgements
 from kestrelspar.peers.members import Events, Members, Out
@@ -43,6 +45,9 @@
     most_wait: int = 2 * SECOND  # longest told wait that is believed
     most_held: float = 0.5  # of all routes, what hearsay may take
     step: int = SECOND  # between couriers that try an endpoint which is out
+    group: str = ""  # members are only those of the same one, or of none
+    region: str = ""  # whose brokers are used
+    brokers: dict[str, tuple[str, int]] = field(default_factory=dict)  # of all regions, by "REGION/NAME"
 
 
 class Peer:
@@ -61,6 +66,9 @@
         self.judgements = Judgements(about.name, about.life, about.most_wait, about.most_held, about.step,
                                      Random(seed + 1))
         self.counts = Counts(about.name, about.life, now, past or {}, Random(seed + 2))
+        mine = of_region(about.brokers, about.region)
+        self.brokers = Subscriber(about.name, about.address, about.terms.number, mine, now,
+                                  Random(seed + 3)) if mine else None
         self.news = False  # heard of endpoints since the caller looked
         self.events: Events = []
         self.sent = self.heard = self.held_back = 0  # bytes, bytes, datagrams
@@ -71,6 +79,17 @@
             self.events.append(("peers-owns-nothing", {"number": about.terms.number,
                                                        "couriers": about.terms.couriers}))
 
+    def interest(self, dests: Iterable[int], now: int) -> None:
+        """Destinations that were called since the last tick, or have messages waiting; without brokers nothing."""
+        if self.brokers is not None:
+            self.brokers.interest(dests, now)
+
+    def brokers_stand(self, now: int) -> dict[str, dict[str, Any]]:
+        """For people, by broker: as ``Subscriber.stand``, and whether it is not believed; none: no brokers."""
+        if self.brokers is None:
+            return {}
+        return {name: {**each, "voiceless": False} for name, each in self.brokers.stand(now).items()}
+
     def hear(self, data: bytes, now: int) -> Datagrams:
         """A datagram arrived."""
         self.heard += len(data)
--- a/kestrelspar/peers/words.py
+++ b/kestrelspar/peers/words.py
@@ -10,6 +10,9 @@
 Name = Annotated[str, Meta(min_length=1, max_length=60)]
 Key = Annotated[str, Meta(min_length=1, max_length=200)]  # of a budget
 Count = Annotated[int, Meta(ge=0, le=1 << 53)]
+Group = Annotated[str, Meta(max_length=60)]
+Dest = Annotated[int, Meta(ge=0, le=1 << 40)]  # a destination's number, the same at all couriers
+Digest = Annotated[int, Meta(ge=0, lt=1 << 62)]
 Calls = Annotated[int, Meta(ge=0, le=1_000_000)]
 
 
@@ -22,8 +25,11 @@
     LEFT = 3
 
 
-class Said(Struct, array_like=True, frozen=True, tag="s"):
-    """What somebody holds of a member. ``number``: its place among the couriers that the settings tell."""
+class Said(Struct, array_like=True, frozen=True, tag="s", omit_defaults=True):
+    """What somebody holds of a member. ``number``: its place among the couriers that the settings tell.
+
+    ``group``: last, and left out where there is none: couriers that know no groups send and read the same bytes.
+    """
 
     name: Name
     host: Annotated[str, Meta(max_length=15)]
@@ -32,6 +38,7 @@
     life: Count
     inc: Count
     stand: Stand
+    group: Group = ""
 
 
 class Ping(Struct, array_like=True, frozen=True, tag="p"):
@@ -107,7 +114,75 @@
     """Tell me your counters."""
 
 
-Word = Union[Said, Ping, Ack, Probe, Nack, Ask, Grant, Back, Seen, Tally, Want]
+class Subscribe(Struct, array_like=True, frozen=True, tag="S"):
+    """To a broker: pass on to me what is told of these destinations. A larger ``set`` begins anew with nothing held."""
+
+    set: Count
+    dests: Annotated[list[Dest], Meta(max_length=256)]
+
+
+class Unsubscribe(Struct, array_like=True, frozen=True, tag="U"):
+    """To a broker: not of these any more."""
+
+    set: Count
+    dests: Annotated[list[Dest], Meta(max_length=256)]
+
+
+class Renew(Struct, array_like=True, frozen=True, tag="R"):
+    """To a broker: who and where I am, and how many destinations you should hold for me, with their digest.
+
+    ``known``: the highest life of this broker that I have heard; ``set``: as in ``Subscribe``.
+    """
+
+    n: Count
+    host: Annotated[str, Meta(max_length=15)]
+    port: Annotated[int, Meta(ge=1, le=65535)]
+    number: Count
+    known: Count
+    set: Count
+    count: Annotated[int, Meta(ge=0, le=1 << 20)]
+    digest: Digest
+
+
+class Lease(Struct, array_like=True, frozen=True, tag="L"):
+    """A broker's answer to ``Renew`` ``n``: what is held goes on for a term; ``ok``: and it is what was named."""
+
+    n: Count
+    ok: bool
+
+
+class Publish(Struct, array_like=True, frozen=True, tag="P"):
+    """To a broker: I saw this at an endpoint of that destination; pass it on."""
+
+    dest: Dest
+    seen: Seen
+
+
+class Relayed(Struct, array_like=True, frozen=True, tag="r", omit_defaults=True):
+    """A broker passes on what ``witness``, at place ``number``, says that it saw, in that life of its.
+
+    ``origin``: the broker of another region that took it from the witness; none: the one that sends this.
+    """
+
+    witness: Name
+    number: Count
+    life: Count
+    seen: Seen
+    origin: Group = ""
+
+
+class Forward(Struct, array_like=True, frozen=True, tag="F"):
+    """From a broker to one of another region: for your subscribers, and for nobody else."""
+
+    witness: Name
+    number: Count
+    life: Count
+    dest: Dest
+    seen: Seen
+
+
+Word = Union[Said, Ping, Ack, Probe, Nack, Ask, Grant, Back, Seen, Tally, Want,
+             Subscribe, Unsubscribe, Renew, Lease, Publish, Relayed, Forward]
 
 
 class Datagram(Struct, array_like=True, frozen=True):
