--- a/kestrelspar/cli/main.py
+++ b/kestrelspar/cli/main.py
@@ -11,7 +11,7 @@
 VERBS = {
     "serve": "serve", "config": "config", "nginx": "nginx", "demo": "demo", "map": "map", "standin": "standin",
     "smpp": "smpp", "journal": "journal", "lab": "lab",
-    "peers": "peers",
+    "peers": "peers", "broker": "broker",
 }
 
 
--- a/kestrelspar/cli/peers.py
+++ b/kestrelspar/cli/peers.py
@@ -15,14 +15,22 @@
 
 @click.group("peers")
 def verb() -> None:
-    """Ask a running courier about its peers, over a socket in its state folder that only its owner can open."""
+    """Ask a running courier about its peers, or a broker, over a socket in its state folder only its owner can open."""
 
 
 def _asked(state: str, fleet: bool = False) -> dict[str, Any]:
     try:
         return door.ask(state, fleet=fleet)
     except (OSError, ValueError) as error:
-        raise Fault(f"no courier with peers on answers in {state}: {error}") from error
+        raise Fault(f"no courier with peers on, and no broker, answers in {state}: {error}") from error
+
+
+def _of_courier(state: str, key: str, fleet: bool = False) -> dict[str, Any]:
+    told = _asked(state, fleet)
+    if key not in told:
+        raise Fault(f"{state} is the folder of a broker, which has no {key}")
+    found: dict[str, Any] = told[key]
+    return found
 
 
 def _shown(rows: list[dict[str, Any]], title: str) -> None:
@@ -42,22 +50,28 @@
 @STATE
 @JSON
 def status(state: str, plain: bool) -> None:
-    """Who is there, and what was dropped.
+    """Who is there, which brokers answer, and what was dropped; of a broker what it holds and passed on.
 
     \b
     Example:
       kestrelspar peers status --state /var/lib/kestrelspar
     """
     told = _asked(state)
-    budgets, _ = told.pop("budgets"), told.pop("counts")
+    told.pop("counts", None)
+    if "budgets" in told:
+        told["budgets"] = len(told["budgets"])
     if plain:
-        click.echo(ujson.dumps(told | {"budgets": len(budgets)}))
+        click.echo(ujson.dumps(told))
         return
-    members, endpoints = told.pop("members"), told.pop("endpoints")
+    members, endpoints, brokers = told.pop("members", None), told.pop("endpoints", None), told.pop("brokers", {})
     for key, value in told.items():
         click.echo(f"{key.replace('_', ' ')}: {ujson.dumps(value) if isinstance(value, dict) else value}")
-    _shown(members, "Members")
-    _shown([{"endpoint": name, **values} for name, values in endpoints.items()], "Endpoints of which others told")
+    if members is not None:
+        _shown(members, "Members")
+    if brokers:
+        _shown([{"broker": name, **values} for name, values in sorted(brokers.items())], "Brokers")
+    if endpoints is not None:
+        _shown([{"endpoint": name, **values} for name, values in endpoints.items()], "Endpoints of which others told")
 
 
 @verb.command("budgets")
@@ -70,7 +84,7 @@
     Example:
       kestrelspar peers budgets --state /var/lib/kestrelspar --json
     """
-    told = _asked(state)["budgets"]
+    told = _of_courier(state, "budgets")
     if plain:
         click.echo(ujson.dumps(told))
         return
@@ -89,7 +103,7 @@
     Example:
       kestrelspar peers counts --state /var/lib/kestrelspar
     """
-    told = _asked(state, fleet=True)["counts"]
+    told = _of_courier(state, "counts", fleet=True)
     if plain:
         click.echo(ujson.dumps(told))
         return
--- a/kestrelspar/lab/rig.py
+++ b/kestrelspar/lab/rig.py
@@ -22,7 +22,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 import ujson
 
@@ -265,23 +265,37 @@
         self.discovery.heard = self._notice
         self.sent: dict[str, Sent] = {}
         self.nodes: dict[str, Node] = {}
-        ports = Ports()
+        self.brokers: dict[str, Node] = {}  # zones.py has some
+        self.ports = ports = Ports()
         for number in range(couriers):
             name = f"n{number}"
             (folder / name).mkdir()
             self.nodes[name] = Node(name, number, ports.free(socket.SOCK_STREAM), ports.free(socket.SOCK_DGRAM),
                                     folder / name)
-        self.wires = {(a, b): Wire(self.loop, a, b, self.pick) for a in self.nodes for b in self.nodes if a != b}
-        for (_, to), wire in self.wires.items():
-            wire.target = self.nodes[to].peers
+        self.wires = self._wires()
         self.program = [sys.executable, "-m", "kestrelspar"]  # a test may start one that is broken on purpose
         self._over = False
 
-    def __enter__(self) -> Rig:
+    def _wires(self) -> dict[tuple[str, str], Wire]:
+        """What is between couriers: a wire a direction and pair."""
+        wires = {(a, b): Wire(self.loop, a, b, self.pick) for a in self.nodes for b in self.nodes if a != b}
+        for (_, to), wire in wires.items():
+            wire.target = self.nodes[to].peers
+        return wires
+
+    def ways(self, sender: str) -> dict[str, tuple[str, int]]:
+        """Where a courier sends what it has to say to each of the others."""
+        return {to: wire.address for (a, to), wire in self.wires.items() if a == sender}
+
+    def node(self, name: str) -> Node:
+        """A courier or a broker."""
+        return self.brokers[name] if name in self.brokers else self.nodes[name]
+
+    def __enter__(self) -> Self:
         return self
 
     def __exit__(self, *_: object) -> None:
-        for node in self.nodes.values():
+        for node in (*self.nodes.values(), *self.brokers.values()):
             if node.process is not None:
                 node.process.send_signal(signal.SIGCONT)
                 node.process.kill()
@@ -306,27 +320,32 @@
                              "load_report": {"how": "inline", "columns": ["x0", "x1"]}}
         (node.folder / "config.json").write_text(ujson.dumps(told))
         self._configure(node, self.peers if peers is None else peers, [KEY])
+        self._run(node, self.program, {"RELAY_CONFIG": str(node.folder / "config.json"),
+                                       "KESTRELSPAR_CONF": str(node.folder / "k.conf")})
+
+    def _run(self, node: Node, program: list[str], told: dict[str, str]) -> None:
         environment = {key: value for key, value in os.environ.items()
                        if not key.startswith(("RELAY_", "KESTRELSPAR_"))}
-        environment |= {"RELAY_CONFIG": str(node.folder / "config.json"),
-                        "KESTRELSPAR_CONF": str(node.folder / "k.conf"),
-                        "PYTHONPATH": str(Path(__file__).parent.parent.parent)}
+        environment |= told | {"PYTHONPATH": str(Path(__file__).parent.parent.parent)}
         node.log = node.folder / "log"
         with node.log.open("ab") as out:
-            node.process = subprocess.Popen(self.program, env=environment, stdout=out, stderr=out, cwd=node.folder)
+            node.process = subprocess.Popen(program, env=environment, stdout=out, stderr=out, cwd=node.folder)
         node.stopped = False
 
     def _configure(self, node: Node, peers: bool, keys: list[str]) -> None:
         for number, key in enumerate(keys):
             (node.folder / f"key{number}").write_text(key)
             (node.folder / f"key{number}").chmod(0o600)
-        seeds = "".join(f"    seed {to} {wire.address[0]}:{wire.address[1]}\n"
-                        for (sender, to), wire in self.wires.items() if sender == node.name)
+        seeds = "".join(f"    seed {to} {host}:{port}\n" for to, (host, port) in self.ways(node.name).items())
         files = " ".join(f"key{number}" for number in range(len(keys)))
         (node.folder / "k.conf").write_text(
             f"log\n    level debug\npeers\n    enabled {'on' if peers else 'off'}\n"
             f"    listen {node.peers[0]}:{node.peers[1]}\n    key-file {files}\n    period 300ms\n    term 2s\n"
-            f"    spend {self.spend}\n{seeds}{self.conf}")
+            f"    spend {self.spend}\n{seeds}{self._more(node)}{self.conf}")
+
+    def _more(self, node: Node) -> str:
+        """More of a courier's section ``peers``."""
+        return ""
 
     def reload(self, name: str, keys: list[str], peers: bool = True) -> None:
         """Other keys, the one that seals first, or peers off: SIGHUP."""
@@ -336,8 +355,8 @@
         node.process.send_signal(signal.SIGHUP)
 
     def end(self, name: str, number: signal.Signals = signal.SIGKILL) -> None:
-        """Ask the process to end, or kill it; its exit code is kept."""
-        node = self.nodes[name]
+        """Ask the process of a courier or broker to end, or kill it; its exit code is kept."""
+        node = self.node(name)
         assert node.process is not None
         process = node.process
         process.send_signal(number)
@@ -348,7 +367,8 @@
 
     def end_all(self) -> None:
         """Ask all processes to end, at once."""
-        there = [(node, node.process) for node in self.nodes.values() if node.process is not None]
+        there = [(node, node.process) for node in (*self.nodes.values(), *self.brokers.values())
+                 if node.process is not None]
         for _, process in there:
             process.send_signal(signal.SIGTERM)
         self.until(lambda: all(process.poll() is not None for _, process in there), 10 * SECOND)
@@ -366,7 +386,7 @@
 
     def freeze(self, name: str, span: int) -> None:
         """SIGSTOP, and SIGCONT so much later."""
-        node = self.nodes[name]
+        node = self.node(name)
         process = node.process
         assert process is not None
         process.send_signal(signal.SIGSTOP)
@@ -473,5 +493,5 @@
             self.run(200 * MS)
 
     def logs(self, name: str) -> str:
-        """What a courier has written so far."""
-        return self.nodes[name].log.read_text()
+        """What a courier or broker has written so far."""
+        return self.node(name).log.read_text()
--- /dev/null
+++ b/kestrelspar/lab/zones.py
@@ -0,0 +1,115 @@
+"""A rig of couriers in zones, with brokers: one group of couriers a zone, a relay before each, faults between zones."""
+
+from __future__ import annotations
+
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+from kestrelspar.lab.relays import Path as Faults
+from kestrelspar.lab.relays import Paths, Relay
+from kestrelspar.lab.rig import KEY, Node, Rig, Wire
+from kestrelspar.runtime.loop import MS, SECOND
+
+STARTED_WITHIN = 20 * SECOND
+
+
+class Zoned(Rig):
+    """Couriers and brokers of several zones. All that goes to one passes its zone's relay, which it advertises."""
+
+    def __init__(self, folder: Path, seed: int, limits: dict[str, int], zones: dict[str, tuple[str, str]],
+                 brokers: dict[str, str], **more: Any) -> None:
+        """``zones``: region and zone by courier, of which there are as many; ``brokers``: the zone of each."""
+        self.zones, self.plain = zones, set[str]()  # plain: couriers that are told no group and no broker
+        super().__init__(folder, len(zones), seed, limits, **more)
+        assert list(zones) == list(self.nodes)
+        for number, name in enumerate(brokers):
+            (folder / name.replace("/", "-")).mkdir()
+            self.brokers[name] = Node(name, number, ("", 0), self.ports.free(socket.SOCK_DGRAM),
+                                      folder / name.replace("/", "-"))
+        self.paths = Paths(seed)
+        self.paths.groups = {name: zone for name, (_, zone) in zones.items()} | brokers
+        self.relays = {zone: Relay(self.loop, zone, self.paths) for zone in sorted(set(self.paths.groups.values()))}
+        for name, node in (self.nodes | self.brokers).items():
+            self.relays[self.paths.groups[name]].places[name] = node.peers
+
+    def _wires(self) -> dict[tuple[str, str], Wire]:
+        return {}
+
+    def ways(self, sender: str) -> dict[str, tuple[str, int]]:
+        """See ``Rig.ways``: those of its group, or all where it knows of none."""
+        return {name: self.address(name) for name in self.nodes
+                if name != sender and (sender in self.plain or self.zones[name] == self.zones[sender])}
+
+    def address(self, name: str) -> tuple[str, int]:
+        """Where others send to it."""
+        return self.relays[self.paths.groups[name]].address
+
+    def _more(self, node: Node) -> str:
+        advertise = "    advertise {}:{}\n".format(*self.address(node.name))
+        if node.name in self.plain:
+            return advertise
+        region, zone = self.zones[node.name]
+        return f"{advertise}    group {zone}\n    region {region}\n{self._broker_lines()}"
+
+    def _broker_lines(self) -> str:
+        return "".join("    broker {} {}:{}\n".format(name, *self.address(name)) for name in self.brokers)
+
+    # Brokers
+
+    def start_broker(self, name: str, folder: bool = True) -> None:
+        """One broker's process; without its folder where that is not kept."""
+        node = self.brokers[name]
+        state = node.folder / "state"
+        if not folder:
+            for file in state.iterdir():
+                file.unlink()
+            state.rmdir()
+        state.mkdir(exist_ok=True)
+        (node.folder / "key0").write_text(KEY)
+        (node.folder / "key0").chmod(0o600)
+        (node.folder / "k.conf").write_text(
+            f"log\n    level debug\npeers\n    listen {node.peers[0]}:{node.peers[1]}\n    key-file key0\n"
+            f"    region {name.partition('/')[0]}\n    couriers {len(self.nodes)}\n{self._broker_lines()}")
+        words = ["broker", "--conf", str(node.folder / "k.conf"), "--name", name, "--state", str(state)]
+        before = node.log.read_text().count("event=broker-serves") if node.log.is_file() else 0
+        self._run(node, [sys.executable, "-m", "kestrelspar", *words], {})
+        self.until(lambda: node.log.read_text().count("event=broker-serves") > before, STARTED_WITHIN)
+
+    # Faults between zones
+
+    def apart(self, zone: str, out: bool = True, back: bool = True) -> None:
+        """What the zone says reaches no other (``out``), and what others say does not reach it (``back``)."""
+        for other in self.relays.keys() - {zone}:
+            if out:
+                self.paths.faults[(zone, other)] = Faults(cut=True)
+            if back:
+                self.paths.faults[(other, zone)] = Faults(cut=True)
+
+    def lose(self, share: float) -> None:
+        """Of all datagrams, within zones too, so many are lost."""
+        for a in self.relays:
+            for b in self.relays:
+                self.paths.faults[(a, b)] = Faults(loss=share)
+
+    def heal(self) -> None:
+        """No fault any more."""
+        self.paths.heal()
+
+    def outage(self, member: str, within: int = 20 * SECOND) -> list[str]:
+        """A member system shuts until a courier of each group holds it by word, and serves again.
+
+        The groups in which none did in time.
+        """
+        words = f"event=peers-hold endpoint={member}"
+        before = {name: self.logs(name).count(words) for name in self.nodes if self.nodes[name].process is not None}
+        groups = {self.zones[name][1] for name in before}
+        late, until = groups, self.loop.now + within
+        self.members[member].shut = True
+        while late and self.loop.now < until:
+            self.run(200 * MS)
+            held = {self.zones[name][1] for name, count in before.items() if self.logs(name).count(words) > count}
+            late = groups - held
+        self.members[member].up()
+        return sorted(late)
--- a/kestrelspar/peers/demand.py
+++ b/kestrelspar/peers/demand.py
@@ -37,6 +37,7 @@
     silent: list[str] = field(default_factory=list)  # endpoints with calls out and nothing back for long
     down: list[str] = field(default_factory=list)  # those that the module counts as in an outage
     closed: list[str] = field(default_factory=list)  # those, and those that told it to wait
+    concerns: set[int] = field(default_factory=set)  # destinations with messages waiting or calls out
 
 
 def name(endpoint: EndpointId) -> str:
@@ -80,6 +81,8 @@
             continue
         named, dest = name(route.id), route.dest
         found.routes[named], found.ids[named] = dest.id, route.id
+        if dest.queue or route.inflight:
+            found.concerns.add(dest.id)
         if route.inflight and module.silent(route) and module.now - route.heard > SILENT:
             found.silent.append(named)
         down = route.down and route.back is None
--- a/kestrelspar/peers/link.py
+++ b/kestrelspar/peers/link.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import socket
 from collections import Counter
 from pathlib import Path
@@ -16,7 +15,9 @@
 from kestrelspar.peers.judgements import Held, Outcome
 from kestrelspar.peers.peer import About, Datagrams, Peer
 from kestrelspar.peers.seal import MOST
+from kestrelspar.peers.seal import keys as keys
 from kestrelspar.peers.shares import Terms, spanned
+from kestrelspar.peers.telling import ONCE_IN, Teller
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.loop import MS, Loop
 from kestrelspar.settings import schema
@@ -32,16 +33,7 @@
 TENANT_SPAN = 2_000 * MS  # what a tenant may be ahead of its share
 LOOK = 2 * MS  # how often a call that waits for its budget looks again
 AT_ONCE = 64  # datagrams read in one turn
-LOUD = {"peers-name-twice", "peers-number-twice", "peers-owns-nothing", "peers-lends-too-much", "peers-folder-full",
-        "peers-not-believed"}
-QUIET = {"peers-borrowed"}
 FAILED = (api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CONNECT_FAILED)
-ONCE_IN = 60_000 * MS  # the same loud event of the same peer
-
-
-def keys(secrets: list[str]) -> list[bytes]:
-    """Keys of full length from what the files say."""
-    return [hashlib.blake2b(secret.encode(), digest_size=32, person=b"kestrelspar key").digest() for secret in secrets]
 
 
 class PeerLink:
@@ -60,7 +52,7 @@
         self._socket.bind(told.listen)
         terms = Terms(settings.forwarders, settings.number, told.term, told.drift / 1_000)
         about = About(name, told.told(), self.life, keys(secrets), dict(told.seed), terms, told.bytes_per_second,
-                      told.period)
+                      told.period, group=told.group, region=told.region, brokers=dict(told.broker))
         # Before the first word: a life that was heard must not come again.
         self._found.life = self.life
         kept.write(self._file, self._found)
@@ -70,8 +62,9 @@
         self._tenants: dict[int, float] = {}
         self._over: dict[int, int] = {}  # by tenant: messages beyond its share since the last look
         self._held: dict[str, Held] = {}
+        self._called: set[int] = set()  # destinations that were called since the last tick
         self._ticked = self._woke = self._keep_at = loop.clock()
-        self._told: dict[tuple[str, str], int] = {}
+        self._teller = Teller(loop)
         self.unsent: Counter[str] = Counter()
         self._door = Door(loop, folder, self.status, self.ask_all)
         self._quiet = self._detached = False  # the settings say so; and nothing that was lent runs any more
@@ -142,16 +135,7 @@
             except OSError as error:  # a full buffer, no route: as good as lost
                 self.unsent[type(error).__name__] += 1
         events, self.peer.events = self.peer.events, []
-        for name, fields in events:
-            if name in LOUD:
-                which = name, str(fields.get("peer", ""))
-                if self.loop.now < self._told.get(which, -ONCE_IN) + ONCE_IN:
-                    continue
-                self._told[which] = self.loop.now
-            if name in LOUD:
-                logs.error(name, **fields)
-            else:
-                logs.event(name, logs.DEBUG if name in QUIET else logs.INFO, **fields)
+        self._teller.tell(events)
 
     def _tick(self) -> None:
         while not self._detached:
@@ -162,6 +146,8 @@
             self._take_stock(began)
             took = self.loop.clock() - began
             if not self._quiet:
+                self.peer.interest(self._called | self._look.concerns, self.loop.clock())
+                self._called.clear()
                 self._send(self.peer.tick(self.loop.clock()))
                 self._judge()
             self._tell_module()
@@ -177,7 +163,8 @@
             "name": peer.about.name, "life": self.life, "number": peer.about.terms.number,
             "couriers": peer.about.terms.couriers, "talks": not self._quiet and not peer.members.stepped_back,
             "ailing": peer.members.ailing, "bytes_sent": peer.sent, "bytes_heard": peer.heard,
-            "held_back": peer.held_back, "dropped": dict(peer.sealer.dropped),
+            "held_back": peer.held_back, "dropped": dict(peer.sealer.dropped), "group": peer.about.group,
+            "region": peer.about.region, "brokers": {} if peer.brokers is None else peer.brokers.stand(now),
             "members": [{"name": name, "stand": m.said.stand.name.lower(), "number": m.said.number, "life": m.said.life,
                          "for_s": (now - m.since) // 1_000_000} for name, m in sorted(peer.members.members.items())],
             "budgets": {key: peer.shares.stand(key, now) for key in peer.shares.names()},
@@ -211,6 +198,8 @@
         self.peer.judgements.saw(name, outcome, sent, now, result.told_wait, limit if 0.01 < limit < 1e6 else 0.0)
         route = self.courier.module.routes.get(endpoint)
         dest = "gone" if route is None else route.dest.id
+        if route is not None:
+            self._called.add(route.dest.id)
         self.peer.counts.add(f"calls/{dest}/{result.outcome.name.lower()}")
 
     def _was_stopped(self, sent: int, now: int) -> bool:
--- a/kestrelspar/peers/seal.py
+++ b/kestrelspar/peers/seal.py
@@ -32,6 +32,11 @@
     """A datagram that is not taken; its one argument is the kind."""
 
 
+def keys(secrets: list[str]) -> list[bytes]:
+    """Keys of full length from what the files say."""
+    return [hashlib.blake2b(secret.encode(), digest_size=32, person=b"kestrelspar key").digest() for secret in secrets]
+
+
 def _tag(key: bytes, data: bytes) -> bytes:
     return hashlib.blake2b(data, key=key, digest_size=TAG).digest()
 
--- a/kestrelspar/settings/resolve.py
+++ b/kestrelspar/settings/resolve.py
@@ -211,12 +211,14 @@
     return found
 
 
-def peer_keys(conf: Conf) -> list[str]:
-    """The secrets that couriers share, the one that seals first; nothing where peers are off."""
+def peer_keys(conf: Conf, broker: bool = False) -> list[str]:
+    """The secrets that couriers share, the one that seals first; for a courier nothing where peers are off."""
     told, look = conf.told(schema.Peers), _Names()
     peers = conf.one(schema.Peers)
-    if not peers.enabled:
+    if not peers.enabled and not broker:
         return []
+    if not peers.key_file:
+        look.faults.append(told.fault("key-file", "names 0 files (wanted: the key's, or two while it changes)"))
     found = [look.secret(told, "key-file", file) for file in peers.key_file]
     look.faults += [told.fault("key-file", f"holds {len(secret)} bytes (wanted: 16 or more)")
                     for secret in found if secret and len(secret.encode()) < 16]
--- a/kestrelspar/settings/schema.py
+++ b/kestrelspar/settings/schema.py
@@ -277,6 +277,8 @@
     broker: Annotated[dict[str, Address], address("a process that passes on what couriers saw of endpoints, by "
                                                   "REGION/NAME; those of all regions, the same at all couriers and "
                                                   "brokers")] = {}
+    couriers: Annotated[int, number("how many there are, for a broker; a courier has it from the platform's settings",
+                                    1, 1_000_000)] = 1_000_000
     broker_bytes_per_second: Annotated[int, size("what a broker sends at most, whatever happens", 10_000,
                                                  1_000_000_000)] = 1_000_000
     bytes_per_second: Annotated[int, size("what it sends at most, whatever happens", 2_000, 1_000_000_000)] = 20_000
@@ -296,7 +298,7 @@
     def wrong(self) -> list[tuple[str, str]]:
         """Half a section, and keys that nobody could change; and brokers, which read them also where this is off."""
         found = self._wrong_brokers()
-        if self.enabled and not 1 <= len(self.key_file) <= 2:
+        if not self.enabled <= len(self.key_file) <= 2:
             found.append(("key-file", f"names {len(self.key_file)} files (wanted: the key's, or two while it changes)"))
         if len(self.advertise) > 1:
             found.append(("advertise", "names more than one address (wanted: one HOST:PORT)"))
--- a/tests/cli/test_verbs.py
+++ b/tests/cli/test_verbs.py
@@ -166,6 +166,7 @@
 
 def test_serving_imports_nothing_that_only_verbs_need() -> None:
     code = ("import sys, kestrelspar.serve; "
-            "print([m for m in ('click', 'rich', 'crossplane', 'pythonjsonlogger') if m in sys.modules])")
+            "print([m for m in ('click', 'rich', 'crossplane', 'pythonjsonlogger') if m in sys.modules]"
+            " + [m for m in sys.modules if m.startswith('kestrelspar.peers')])")
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
