Couriers are members of their own group only; who knows no groups stays a member of all

A courier that is told a group takes in members of the same or of no group. Words on others are counted and not taken. Seen on the model of a fleet turned over one by one: an old courier passes members on without their group, so one of another group is taken in by its word, pings it, is not answered (no address) and accuses it. So strangers are held apart, bounded, and answered; the answer names the group. Said of no group goes out as the same bytes as before (msgspec does not leave out trailing defaults of arrays, so it is encoded as a struct without the item); a decoder of the old struct passes over the new item. The model gets regions, groups, brokers and couriers that know none of them.

--- a/kestrelspar/lab/model.py
+++ b/kestrelspar/lab/model.py
@@ -3,6 +3,9 @@
 Real time is the model's; each courier reads it through a clock of its own, with an offset and a drift. What is sent
 is lost, late, doubled and out of order as the model is told, by direction. Couriers stop, end and start again, with
 their folder or without. The judge of budgets is apart from them: it counts calls in real time.
+
+Brokers are nodes beside the couriers, with regions; where there are any, each courier is told all of them, its region
+and its group, unless it is an ``old`` one, which is told of none.
 """
 
 from __future__ import annotations
@@ -14,6 +17,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from kestrelspar.peers.brokers import Broker, BrokerAbout
 from kestrelspar.peers.peer import About, Datagrams, Peer
 from kestrelspar.peers.shares import Terms
 
@@ -33,7 +37,7 @@
 
 @dataclass(slots=True)
 class Node:
-    """One courier of the model."""
+    """One courier of the model, or a broker."""
 
     name: str
     number: int
@@ -46,6 +50,13 @@
     stopped_until: int = 0
     waiting: list[bytes] = field(default_factory=list)  # arrived while it was stopped
     lies: Callable[[Node, int], None] | None = None
+    group: str = ""
+    region: str = ""
+    broker: Broker | None = None
+
+    def process(self) -> Peer | Broker | None:
+        """What runs there."""
+        return self.peer or self.broker
 
     def clock(self, real: int) -> int:
         """Its own clock at this time."""
@@ -81,7 +92,9 @@
     """The couriers, what is between them, and time."""
 
     def __init__(self, couriers: int, seed: int, faults: Faults | None = None, drift: float = 0.0,
-                 terms: dict[str, float] | None = None, bytes_a_second: int = 50_000, seeds: int = 3) -> None:
+                 terms: dict[str, float] | None = None, bytes_a_second: int = 50_000, seeds: int = 3,
+                 brokers: dict[str, int] | None = None, place: Callable[[int], tuple[str, str]] | None = None) -> None:
+        """``brokers``: how many in each region; ``place``: of a courier by its number, its region and its group."""
         self.random = Random(seed)
         self.now = 0
         self.faults = faults or Faults()
@@ -93,7 +106,16 @@
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
         self.nodes = {f"n{i}": Node(f"n{i}", i, ("10.0.0.1", 1000 + i), 1 + self.random.uniform(-drift, drift),
                                     self.random.randrange(10**9)) for i in range(couriers)}
-        self._by_address = {node.address: node for node in self.nodes.values()}
+        if place is not None:
+            for node in self.nodes.values():
+                node.region, node.group = place(node.number)
+        names = [(region, f"{region}/b{n}") for region, count in (brokers or {}).items() for n in range(count)]
+        self.brokers = {name: Node(name, 0, ("10.0.0.2", 1000 + n), 1 + self.random.uniform(-drift, drift),
+                                   self.random.randrange(10**9), region=region)
+                        for n, (region, name) in enumerate(names)}
+        self.old: set[str] = set()  # couriers that know neither groups nor brokers
+        self.dests: dict[str, dict[str, int]] = {}  # by courier: what it has to do with, endpoints with destinations
+        self._by_address = {node.address: node for node in [*self.nodes.values(), *self.brokers.values()]}
         self._seeds = dict(list({n.name: n.address for n in self.nodes.values()}.items())[:seeds])
         self.budgets: dict[str, tuple[int, int]] = {}
 
@@ -119,33 +141,53 @@
 
     def start(self, name: str, folder: bool = True) -> None:
         """A process of this name begins; without its folder it knows nothing of its former lives."""
-        node = self.nodes[name]
+        node = self.node(name)
         if not folder:
             node.folder = None
         node.life = max(node.life + 1, self.now // MS + 1)
+        told = {broker.name: broker.address for broker in self.brokers.values()}
+        node.stopped_until, node.waiting = 0, []
+        if name in self.brokers:
+            node.broker = Broker(BrokerAbout(name, node.region, node.address, node.life, [KEY], told, len(self.nodes)),
+                                 node.clock(self.now), self.random.randrange(1 << 30))
+            self._ticks(node, node.broker)
+            return
         about = About(name, node.address, node.life, [KEY], self._seeds,
-                      Terms(len(self.nodes), node.number, **self.terms), self.bytes_a_second)  # type: ignore[arg-type]
+                      Terms(len(self.nodes), node.number, **self.terms), self.bytes_a_second,  # type: ignore[arg-type]
+                      **({} if name in self.old else  # type: ignore[arg-type]
+                         {"group": node.group, "region": node.region, "brokers": told}))
 
         def keep(lent: dict[str, int]) -> bool:
             node.folder = dict(lent)
             return True
 
-        node.stopped_until, node.waiting = 0, []
         node.peer = Peer(about, node.clock(self.now), self.random.randrange(1 << 30), node.folder, keep)
         for key, (calls, span) in self.budgets.items():
             node.peer.shares.budget(key, calls, span)
+        node.peer.judgements.routes(dict(self.dests.get(name, {})))
         self._ticks(node, node.peer)
 
+    def node(self, name: str) -> Node:
+        """A courier or a broker."""
+        return self.nodes.get(name) or self.brokers[name]
+
     def kill(self, name: str) -> None:
         """SIGKILL."""
-        self.nodes[name].peer = None
+        self.node(name).peer = self.node(name).broker = None
 
     def stop(self, name: str, span: int) -> None:
         """SIGSTOP, and SIGCONT so much later."""
-        self.nodes[name].stopped_until = self.now + span
+        self.node(name).stopped_until = self.now + span
+
+    def concerns(self, name: str, routes: dict[str, int]) -> None:
+        """What this courier has to do with from now on, also after a start: endpoints, with their destinations."""
+        self.dests[name] = routes
+        peer = self.nodes[name].peer
+        if peer is not None:
+            peer.judgements.routes(dict(routes))
 
-    def _ticks(self, node: Node, peer: Peer) -> None:
-        if node.peer is not peer:
+    def _ticks(self, node: Node, peer: Peer | Broker) -> None:
+        if node.process() is not peer:
             return
         if node.stopped_until > self.now:
             self.at(node.stopped_until, lambda: self._ticks(node, peer))
@@ -155,6 +197,8 @@
         node.waiting = []
         if node.lies is not None:
             node.lies(node, self.now)
+        if isinstance(peer, Peer):
+            peer.interest(self.dests.get(node.name, {}).values(), node.clock(self.now))
         self._out(node, peer.tick(node.clock(self.now)))
         self.at(self.now + TICK + self.random.randrange(5 * MS), lambda: self._ticks(node, peer))
 
@@ -171,9 +215,10 @@
     # What is between them
 
     def _out(self, node: Node, datagrams: Datagrams) -> None:
-        if node.peer is not None:
-            self.events += [(self.now, node.name, event, fields) for event, fields in node.peer.events]
-            node.peer.events = []
+        process = node.process()
+        if process is not None:
+            self.events += [(self.now, node.name, event, fields) for event, fields in process.events]
+            process.events = []
         for address, data in datagrams:
             to = self._by_address.get(address)
             if to is not None:
@@ -187,12 +232,13 @@
             self.at(self.now + self.random.randint(*self.faults.delay), lambda: self._arrive(to, data))
 
     def _arrive(self, to: Node, data: bytes) -> None:
-        if to.peer is None:
+        process = to.process()
+        if process is None:
             return
         if to.stopped_until > self.now:
             to.waiting.append(data)
             return
-        self._out(to, to.peer.hear(data, to.clock(self.now)))
+        self._out(to, process.hear(data, to.clock(self.now)))
 
 
 class Traffic:
--- a/kestrelspar/peers/members.py
+++ b/kestrelspar/peers/members.py
@@ -22,6 +22,10 @@
 The dead are kept for a while, so that old words don't bring them back, and one of them or a seed is asked now and
 then: so two halves that lost each other, and buried each other, meet again. Whoever is asked is told what is held of
 it.
+
+Where the settings name a group, members are only those of the same group, or of none: couriers that know no groups are
+members of all, as all are theirs. One of another group is a stranger: not held, not asked and not passed on, but
+answered, as it may have heard of us through one that knows no groups and passed our group over. The answer tells it.
 """
 
 from __future__ import annotations
@@ -90,6 +94,7 @@
         self.leaving = False
         self.ailing = 0
         self.refused = 0  # members beyond ``most``
+        self.foreign = 0  # words on couriers of other groups, which are not taken
         self.events: Events = []
         self._random = random
         self._n = random.randrange(1 << 32)
@@ -105,6 +110,7 @@
         self._numbers: dict[int, str] = {me.number: me.name}  # who was heard with it last
         self._watched: set[str] = set()  # members that are not alive
         self._fresh: set[str] = set()  # members whose change is still passed on
+        self._strangers: dict[str, Said] = {}  # couriers of other groups, by name: only ever answered
 
     # What is held
 
@@ -123,7 +129,13 @@
         if name in self.seeds:
             return self.seeds[name]
         member = self.members.get(name)
-        return (member.said.host, member.said.port) if member is not None else None
+        said = member.said if member is not None else self._strangers.get(name)
+        return (said.host, said.port) if said is not None else None
+
+    def group(self, name: str) -> str:
+        """The group of a member; none: it has none, or is no member."""
+        member = self.members.get(name)
+        return member.said.group if member is not None else ""
 
     def number(self, name: str) -> int | None:
         """Its place among the couriers, once it was heard."""
@@ -214,10 +226,13 @@
                 self._hold(member, _as(member.said, Stand.DEAD), now)
                 self.events.append(("peers-dead", {"peer": name, "witnesses": len(member.witnesses)}))
             elif member.said.stand >= Stand.DEAD and now - member.since > KEEP_DEAD:
-                del self.members[name]
-                self._watched.discard(name)
-                self._numbers.pop(member.said.number, None)
-                self._alive = None
+                self._forget(name)
+
+    def _forget(self, name: str) -> None:
+        self._numbers.pop(self.members.pop(name).said.number, None)
+        self._watched.discard(name)
+        self._fresh.discard(name)
+        self._alive = None
 
     def refute_within(self, member: Member) -> int:
         """How long a suspect has, in microseconds: less the more witnesses there are."""
@@ -271,6 +286,8 @@
             self._of_me(said)
             return
         member = self.members.get(said.name)
+        if self._is_foreign(said):
+            return
         if member is None:
             if said.stand >= Stand.DEAD:
                 return
@@ -298,6 +315,34 @@
             member.told = 0  # one more witness is news
             self._fresh.add(said.name)
 
+    def _is_foreign(self, said: Said) -> bool:
+        """Whether that one is of another group; a member that turns out to be is none any more.
+
+        Who knows no groups passes its word on without one: then it is known by its life that it is the same.
+        """
+        if not self.me.group:
+            return False
+        known = self._strangers.get(said.name)
+        if said.group in ("", self.me.group):
+            if known is None:
+                return False
+            if said.life < known.life or said.life == known.life and not said.group:
+                self.foreign += 1
+                return True
+            del self._strangers[said.name]  # it began anew, with our group or with none
+            return False
+        self.foreign += 1
+        member = self.members.get(said.name)
+        if member is not None and said.life < member.said.life:
+            return True  # what it was before it came to us
+        if member is not None:
+            self._forget(said.name)
+        if known is None or rank(said) > rank(known):
+            if known is None and len(self._strangers) >= self.most:
+                del self._strangers[next(iter(self._strangers))]
+            self._strangers[said.name] = said
+        return True
+
     def _joined(self, member: Member) -> None:
         said = member.said
         self.events.append(("peers-joined", {"peer": said.name, "life": said.life, "number": said.number}))
@@ -315,7 +360,7 @@
                                                      "at": f"{said.host}:{said.port}"}))
         elif said.life == self.me.life and said.stand and said.inc >= self.me.inc and not self.leaving:
             self.me = Said(self.me.name, self.me.host, self.me.port, self.me.number, self.me.life, said.inc + 1,
-                           Stand.ALIVE)
+                           Stand.ALIVE, self.me.group)
             self.ailing = min(AILING - 1, self.ailing + 1)
 
     def _hold(self, member: Member, said: Said, now: int) -> None:
@@ -364,4 +409,4 @@
 
 
 def _as(said: Said, stand: Stand) -> Said:
-    return Said(said.name, said.host, said.port, said.number, said.life, said.inc, stand)
+    return Said(said.name, said.host, said.port, said.number, said.life, said.inc, stand, said.group)
--- a/kestrelspar/peers/peer.py
+++ b/kestrelspar/peers/peer.py
@@ -18,7 +18,7 @@
 from kestrelspar.peers.members import Events, Members, Out
 from kestrelspar.peers.seal import MOST, Dropped, Sealer, encode
 from kestrelspar.peers.shares import Shares, Terms
-from kestrelspar.peers.words import Ack, Nack, Ping, Probe, Said, Seen, Tally, Want, Word
+from kestrelspar.peers.words import Ack, Nack, Ping, Probe, Said, Seen, Stand, Tally, Want, Word
 
 MS, SECOND = 1_000, 1_000_000
 TELL_EVERY = 60 * SECOND  # a kind of dropped datagram is told so often at most
@@ -60,7 +60,7 @@
         random = Random(seed)
         self.about = about
         self.sealer = Sealer(about.name, about.life, about.keys)
-        me = Said(about.name, *about.address, about.terms.number, about.life, 0, 0)  # type: ignore[arg-type]
+        me = Said(about.name, *about.address, about.terms.number, about.life, 0, Stand.ALIVE, about.group)
         self.members = Members(me, about.seeds, about.period, about.most, now, random)
         self.shares = Shares(about.terms, about.life, now, kept, random, keep)
         self.judgements = Judgements(about.name, about.life, about.most_wait, about.most_held, about.step,
--- a/kestrelspar/peers/seal.py
+++ b/kestrelspar/peers/seal.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from kestrelspar.peers.words import Datagram, Word
+from kestrelspar.peers.words import Bare, Datagram, Said, Word
 
 MARK = b"KP1"
 MOST = 1_200  # bytes of a datagram: fits any path without fragments
@@ -24,10 +24,22 @@
 WINDOW = 1_024  # sequence numbers behind the highest that may still come, once each
 SENDERS = 4_096  # whose sequence is held; with a key, more could be made up
 
-encode = msgspec.msgpack.Encoder().encode
+_encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Datagram).decode
 
 
+def _bare(word: Word) -> Word | Bare:
+    """A member of no group goes without the item for it: couriers that know none send and read the same bytes."""
+    if type(word) is not Said or word.group:
+        return word
+    return Bare(word.name, word.host, word.port, word.number, word.life, word.inc, word.stand)
+
+
+def encode(word: Word) -> bytes:
+    """One word, as it goes into a datagram."""
+    return _encode(_bare(word))
+
+
 class Dropped(Exception):
     """A datagram that is not taken; its one argument is the kind."""
 
@@ -57,7 +69,7 @@
     def seal(self, to: str, words: list[Word]) -> bytes:
         """The datagram; ``ValueError`` where it would be too large."""
         self._seq += 1
-        body = encode(Datagram(self.name, self.life, to, self._seq, words))
+        body = _encode((self.name, self.life, to, self._seq, [_bare(word) for word in words]))  # a ``Datagram``
         if HEAD + len(body) > MOST:
             raise ValueError(f"{HEAD + len(body)} bytes in a datagram")
         key = self._keys[0]
@@ -66,7 +78,7 @@
     @staticmethod
     def size(words: list[Word], names: int) -> int:
         """Bytes that a datagram with these words takes at most, between names of so many bytes together."""
-        return HEAD + 40 + names + len(encode(words))
+        return HEAD + 40 + names + len(_encode([_bare(word) for word in words]))
 
     def open(self, data: bytes) -> Datagram:
         """What was said; ``Dropped`` with the kind of what is wrong."""
--- a/kestrelspar/peers/words.py
+++ b/kestrelspar/peers/words.py
@@ -25,10 +25,10 @@
     LEFT = 3
 
 
-class Said(Struct, array_like=True, frozen=True, tag="s", omit_defaults=True):
+class Said(Struct, array_like=True, frozen=True, tag="s"):
     """What somebody holds of a member. ``number``: its place among the couriers that the settings tell.
 
-    ``group``: last, and left out where there is none: couriers that know no groups send and read the same bytes.
+    ``group``: last, as couriers that know no groups pass over what is beyond the stand. None is sent as ``Bare``.
     """
 
     name: Name
@@ -41,6 +41,18 @@
     group: Group = ""
 
 
+class Bare(Struct, array_like=True, frozen=True, tag="s"):
+    """``Said`` of no group, as it is sent: the same bytes as before there were groups. Only encoded."""
+
+    name: str
+    host: str
+    port: int
+    number: int
+    life: int
+    inc: int
+    stand: Stand
+
+
 class Ping(Struct, array_like=True, frozen=True, tag="p"):
     """Are you there? ``n`` comes back."""
 
@@ -158,7 +170,7 @@
     seen: Seen
 
 
-class Relayed(Struct, array_like=True, frozen=True, tag="r", omit_defaults=True):
+class Relayed(Struct, array_like=True, frozen=True, tag="r"):
     """A broker passes on what ``witness``, at place ``number``, says that it saw, in that life of its.
 
     ``origin``: the broker of another region that took it from the witness; none: the one that sends this.
