Words on endpoints go by brokers to those whom a destination concerns; two ways for two witnesses

Judgements keep claims by witness and way. An outage or limit needs two claims that no single party, witness or broker, had a hand in; words that were passed on from another region name the broker that took them, so a lying one there is one party too. Tests and model follow.

--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -21,7 +21,7 @@
 from kestrelspar.lab import play as lab
 from kestrelspar.lab.model import MS, SECOND, Faults, Net, Traffic
 from kestrelspar.lab.scenario import load
-from kestrelspar.peers.judgements import Outcome
+from kestrelspar.peers.judgements import Outcome, Voice
 
 COURIERS, CALLS, WARM, SPAN, PATIENCE = 10, 50, 8 * SECOND, 30 * SECOND, 4 * SECOND
 
@@ -102,7 +102,7 @@
     at = net.nodes["n0"].clock(begin)
     teller.judgements.saw("x", Outcome.FAILED, at, at)
     before = teller.sent
-    while sum("n0" in each.judgements._heard.get("x", {}) for each in peers) < int(0.99 * (members - 1)):
+    while sum(Voice("n0") in each.judgements._heard.get("x", {}) for each in peers) < int(0.99 * (members - 1)):
         if net.now > begin + 20 * SECOND:
             return 20.0, 0.0
         net.run(net.now + 5 * MS)
--- a/kestrelspar/peers/judgements.py
+++ b/kestrelspar/peers/judgements.py
@@ -24,23 +24,31 @@
 call at a time, r ``STEP`` after the last word of a failure. Its failure is the next word, its success ends the wait of
 all. Whoever hears nothing calls after ``RANKS`` steps at the most, as it would alone.
 
-State is bounded by live endpoints and ``WITNESSES`` each, and by members.
+What comes by a broker may be changed or made up by it, and by the broker of another region that it had it from. So
+claims are kept by witness and by the way that they came (``Voice``), and two witnesses are two only if no single party
+- witness or broker - had a hand in all that is said: neither one lying courier, which is one witness on all its ways,
+nor one lying broker, however many witnesses it makes up, holds anything but a told wait. A voice that own calls
+contradict is silent as above; a way whose voices they contradict is, after ``WAY_WRONG`` calls, and a broker after
+``BROKER_WRONG``. A voice that is silent already counts against its way no more: one liar silences no honest broker.
+
+State is bounded by live endpoints and ``WITNESSES`` each and way, and by members.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from enum import IntEnum
 from random import Random
+from typing import NamedTuple
 
 import xxhash
 
 from kestrelspar.peers.members import Events, Out
-from kestrelspar.peers.words import Seen, Word
+from kestrelspar.peers.words import Publish, Relayed, Seen, Word
 
 MS, SECOND = 1_000, 1_000_000
-WITNESSES = 12  # whose words are held of one endpoint
+WITNESSES = 12  # whose words are held of one endpoint, directly and by each broker
 FRESH = 3 * SECOND  # a failure that was seen longer ago tells of no outage now
 RANKS = 8  # steps that anybody waits at the most for those who try an endpoint before it
 ROUNDS, AGAIN = 4, 300 * MS  # how often a word goes to all; until the second time, doubling
@@ -48,6 +56,9 @@
 REFRESH = 250 * MS  # a failure is told anew so often at most
 LEAST_WAIT = 50 * MS  # a shorter told wait is over before it is heard
 WRONG, RIGHT, MOST_WRONG = 3.0, 0.5, 6.0  # marks from which on a voice is lost; taken off by a word borne out; at most
+WAY_WRONG, BROKER_WRONG = 12.0, 24.0  # marks of a way (a broker, and the one it had it from), and of a broker in all
+MOST_MARKS = 2_048  # of voices that came by brokers
+RIVALS = 16  # couriers that claim our place, and are told of
 NEAR = 0.1  # limits that differ by less are the same
 SURELY_OUT = SECOND  # an outage that is over sooner was none
 ALONG = 6  # own words that go along with a datagram
@@ -101,6 +112,7 @@
     value: int
     n: int
     left: list[str] = field(default_factory=list)  # members that this round has still to tell
+    owners: list[str] = field(default_factory=list)  # and brokers
     rounds: int = 0
     next: int = 0
 
@@ -127,6 +139,46 @@
     limit: Claim | None = None
 
 
+class Voice(NamedTuple):
+    """Whose word, and by whom it came: directly, by a broker, and to that from another region's (``origin``).
+
+    Without a witness: all that comes that way; ``origin`` ``ANY``: all that comes by that broker.
+    """
+
+    witness: str
+    by: str = ""
+    origin: str = ""
+
+    def parties(self) -> set[tuple[bool, str]]:
+        """Who had a hand in it, and whether that is a broker."""
+        return {(False, self.witness)} | {(True, name) for name in (self.by, self.origin) if name}
+
+    def levels(self) -> list[tuple[Voice, float]]:
+        """The voice, its way and its broker: all must have a voice; with the marks from which on each has none."""
+        if not self.by:
+            return [(self, WRONG)]
+        return [(self, WRONG), (Voice("", self.by, self.origin), WAY_WRONG), (Voice("", self.by, ANY), BROKER_WRONG)]
+
+    def __str__(self) -> str:
+        """For people."""
+        way = f"by {self.by}" + (f" from {self.origin}" if self.origin not in ("", ANY) else "") if self.by else ""
+        return f"{self.witness} {way}".strip()
+
+
+ANY = "*"
+
+
+def agreed(voices: Iterable[Voice]) -> bool:
+    """Whether no single party had a hand in all of them: one that lies could say nothing so by itself."""
+    parties = [voice.parties() for voice in voices]
+    return len(parties) > 1 and not set.intersection(*parties)
+
+
+def strength(voices: Collection[Voice]) -> int:
+    """How many witnesses there are, of those that came by one way one."""
+    return min(len({voice.witness for voice in voices}), len({voice.by or (voice.witness,) for voice in voices}))
+
+
 def rank(endpoint: str, me: str, others: Iterable[str]) -> int:
     """How many of the others try this endpoint before us: the same order at all, by rendezvous hashing."""
     def draw(name: str) -> int:
@@ -138,15 +190,18 @@
 class Judgements:
     """One courier's own words, what it heard, and what comes of it."""
 
-    def __init__(self, me: str, life: int, most_wait: int, most_held: float, step: int, random: Random) -> None:
+    def __init__(self, me: str, life: int, most_wait: int, most_held: float, step: int, random: Random,
+                 couriers: int = 0, number: int = 0, origins: Collection[str] = ()) -> None:
         """``most_wait``: longest told wait, microseconds; ``most_held``: share of all routes that hearsay may take.
 
-        ``step``: between couriers that try an endpoint which is out, microseconds.
+        ``step``: between couriers that try an endpoint which is out, microseconds. ``couriers``, ``number``: how many
+        there are, and our place; a witness has one. ``origins``: brokers of other regions.
         """
         self.me, self.life, self.most_wait, self.most_held, self.step = me, life, most_wait, most_held, step
         self.events: Events = []
-        self.marks: dict[str, float] = {}  # by witness: how often it was wrong, less how often it was right
-        self.voiceless: set[str] = set()
+        self.couriers, self.number, self.origins = couriers, number, frozenset(origins)
+        self.marks: dict[Voice, float] = {}  # how often it was wrong, less how often it was right
+        self.voiceless: set[Voice] = set()
         self.silent = False
         self._random = random
         self._n = 0
@@ -154,7 +209,8 @@
         self._closed: frozenset[str] = frozenset()
         self._own: dict[str, Own] = {}
         self._telling: dict[tuple[str, bool], Telling] = {}  # by endpoint, and whether it is of its limit
-        self._heard: dict[str, dict[str, Witness]] = {}  # by endpoint and witness
+        self._rivals: set[str] = set()  # couriers that claim our place
+        self._heard: dict[str, dict[Voice, Witness]] = {}  # by endpoint
         self._out: dict[str, int] = {}  # by endpoint that is out: since when
         self._cold: dict[str, int] = {}  # by endpoint that was: when it came back
 
@@ -196,10 +252,17 @@
                 and now - told.at < REFRESH:
             return
         self._n += 1
-        said = sum(w.health is not None and w.health.kind is kind and now - w.health.at < FRESH
-                   for w in self._heard.get(endpoint, {}).values()) if kind is not Kind.LIMIT else 0
+        said = self._said(endpoint, kind, now) if kind is not Kind.LIMIT else 0
         self._telling[key] = Telling(kind, now, value, self._n, rounds=ROUNDS - 1 if said >= ENOUGH else 0, next=now)
 
+    def _said(self, endpoint: str, kind: Kind, now: int) -> int:
+        """Witnesses that have told the same: directly, or by two brokers, as one could make them up."""
+        ways: dict[str, set[str]] = {}
+        for voice, w in self._heard.get(endpoint, {}).items():
+            if w.health is not None and w.health.kind is kind and now - w.health.at < FRESH:
+                ways.setdefault(voice.witness, set()).add(voice.by)
+        return sum("" in by or len(by) > 1 for by in ways.values())
+
     # What others saw
 
     def heard(self, sender: str, life: int, words: Iterable[Word], now: int) -> bool:
@@ -207,16 +270,50 @@
         news = False
         for word in words:
             if isinstance(word, Seen) and word.endpoint in self._routes and sender != self.me:
-                news |= self._take(sender, life, word, now)
+                news |= self._take(Voice(sender), life, word, now)
+        return news
+
+    def relayed(self, broker: str, words: Iterable[Word], now: int) -> bool:
+        """What a broker of the own region passes on; whether any was news."""
+        news = False
+        for word in words:
+            if not isinstance(word, Relayed) or word.witness == self.me or word.number >= self.couriers:
+                continue
+            if word.number == self.number and word.witness not in self._rivals and len(self._rivals) < RIVALS:
+                self._rivals.add(word.witness)  # in another group, so nobody else may hear of both
+                self.events.append(("peers-number-twice", {"peer": word.witness, "rival": self.me,
+                                                           "number": word.number, "by": broker}))
+            if word.seen.endpoint in self._routes and (not word.origin or word.origin in self.origins):
+                news |= self._take(Voice(word.witness, broker, word.origin), word.life, word.seen, now)
         return news
 
-    def _take(self, sender: str, life: int, word: Seen, now: int) -> bool:
+    def _make_room(self, known: dict[Voice, Witness], by: str) -> None:
+        """One way pushes out none of another; of one broker's, that which has the most from one origin gives room."""
+        same = [voice for voice in known if voice.by == by]
+        if len(same) < WITNESSES:
+            return
+        origins = [voice.origin for voice in same]
+        most = max(origins, key=lambda origin: (origins.count(origin), origin))
+        del known[min((voice for voice in same if voice.origin == most), key=lambda voice: known[voice].heard)]
+
+    def _believed(self, voice: Voice) -> bool:
+        return not any(level in self.voiceless for level, _ in voice.levels())
+
+    def unheard(self, broker: str) -> bool:
+        """Whether nothing is believed that comes by this broker from its own couriers."""
+        return not self.voiceless.isdisjoint((Voice("", broker), Voice("", broker, ANY)))
+
+    def not_believed(self) -> list[str]:
+        """Voices and ways that have none, for people."""
+        return sorted(str(voice) for voice in self.voiceless)
+
+    def _take(self, voice: Voice, life: int, word: Seen, now: int) -> bool:
         known = self._heard.setdefault(word.endpoint, {})
-        witness = known.get(sender)
+        witness = known.get(voice)
         if witness is None or life > witness.life:
-            if witness is None and len(known) >= WITNESSES:
-                del known[min(known, key=lambda name: known[name].heard)]
-            witness = known[sender] = Witness(life)
+            if witness is None:
+                self._make_room(known, voice.by)
+            witness = known[voice] = Witness(life)
         at = now - word.age * MS
         claim = Claim(Kind(word.kind), at, at + min(word.value * MS, self.most_wait), word.value, word.n)
         held = witness.limit if claim.kind is Kind.LIMIT else witness.health
@@ -229,36 +326,49 @@
             witness.limit = claim
         else:
             witness.health = claim
-            if claim.kind is Kind.BACK and sender not in self.voiceless:
+            if claim.kind is Kind.BACK and self._believed(voice):
                 self._is_back(word.endpoint, at)
         return True
 
     def _weigh(self, endpoint: str, sent: int, now: int, served: bool) -> None:
         """An own call bears out what was told before it was sent, or contradicts it: each word once."""
-        for name, witness in self._heard.get(endpoint, {}).items():
+        ways: set[tuple[Voice, bool]] = set()
+        for voice, witness in self._heard.get(endpoint, {}).items():
             claim = witness.health
             if claim is None or claim.marked or sent <= claim.at or now - claim.at > FRESH \
                     or claim.kind is Kind.WAIT and sent > claim.until:
                 continue
             claim.marked = True
-            marks = self.marks.get(name, 0.0)
             wrong = served is not (claim.kind is Kind.BACK)
-            self.marks[name] = marks = min(MOST_WRONG, max(0.0, marks + (1.0 if wrong else -RIGHT)))
-            if marks >= WRONG and name not in self.voiceless:
-                self.voiceless.add(name)
-                self.events.append(("peers-not-believed", {"peer": name, "endpoint": endpoint,
-                                                           "said": claim.kind.name.lower()}))
-            elif marks < WRONG and name in self.voiceless:
-                self.voiceless.discard(name)
-                self.events.append(("peers-believed-again", {"peer": name}))
-
-    def _claims(self, endpoint: str) -> list[Claim]:
+            (level, most), *above = voice.levels()
+            silent = level in self.voiceless
+            self._mark(level, most, wrong, endpoint, claim.kind)
+            for level, most in above:
+                if wrong and silent:  # it is not heard already: its broker only passed it on
+                    break
+                silent = level in self.voiceless
+                if (level, wrong) not in ways:  # one call tells one thing of a way, however many say it
+                    ways.add((level, wrong))
+                    self._mark(level, most, wrong, endpoint, claim.kind)
+
+    def _mark(self, level: Voice, most: float, wrong: bool, endpoint: str, kind: Kind) -> None:
+        marks = self.marks.get(level, 0.0)
+        self.marks[level] = marks = min(most * MOST_WRONG / WRONG, max(0.0, marks + (1.0 if wrong else -RIGHT)))
+        if marks >= most and level not in self.voiceless:
+            self.voiceless.add(level)
+            self.events.append(("peers-not-believed", {"peer": str(level), "endpoint": endpoint,
+                                                       "said": kind.name.lower()}))
+        elif marks < most and level in self.voiceless:
+            self.voiceless.discard(level)
+            self.events.append(("peers-believed-again", {"peer": str(level)}))
+
+    def _claims(self, endpoint: str) -> list[tuple[Voice, Claim]]:
         """What those with a voice said of its health, and was neither contradicted by an own call nor by a ``BACK``."""
         own = self._own.get(endpoint) or Own()
-        said = [w.health for name, w in self._heard.get(endpoint, {}).items()
-                if w.health is not None and name not in self.voiceless]
-        well = max([own.served, *(claim.at for claim in said if claim.kind is Kind.BACK)])
-        return [claim for claim in said if claim.kind is not Kind.BACK and claim.at > well]
+        said = [(voice, w.health) for voice, w in self._heard.get(endpoint, {}).items()
+                if w.health is not None and self._believed(voice)]
+        well = max([own.served, *(claim.at for _, claim in said if claim.kind is Kind.BACK)])
+        return [(voice, claim) for voice, claim in said if claim.kind is not Kind.BACK and claim.at > well]
 
     def _troubled(self, endpoint: str, now: int) -> bool:
         """Whether others said lately that it is not well."""
@@ -294,26 +404,28 @@
 
     def _held(self, endpoint: str, now: int, others: list[str]) -> tuple[int, Held] | None:
         claims = self._claims(endpoint)
-        waits = [claim.until for claim in claims if claim.kind is Kind.WAIT and claim.until > now]
+        waits = [(voice, claim.until) for voice, claim in claims if claim.kind is Kind.WAIT and claim.until > now]
         if waits:
-            return len(waits), Held(max(waits), False)
-        down = [claim.at for claim in claims if claim.kind in (Kind.DOWN, Kind.SILENT) and now - claim.at < FRESH]
+            return strength([voice for voice, _ in waits]), Held(max(until for _, until in waits), False)
+        down = [voice for voice, claim in claims
+                if claim.kind in (Kind.DOWN, Kind.SILENT) and now - claim.at < FRESH]
         own = self._own.get(endpoint) or Own()
         failed = own.failed > own.served and now - own.failed < FRESH
-        sure = failed or any(claim.kind is Kind.DOWN and now - claim.at < FRESH for claim in claims)
-        if len(down) + failed >= 2 and sure:  # silence may be a slow call or two
+        sure = failed or any(claim.kind is Kind.DOWN and now - claim.at < FRESH for _, claim in claims)
+        if (failed and down or agreed(down)) and sure:  # silence may be a slow call or two
             self.out(endpoint, now)
         elif endpoint not in self._out or not claims:
             return None
         # Once it is sure, it goes on until somebody is served: else all would try again at once, words being old.
-        last = max([claim.at for claim in claims if claim.kind is not Kind.WAIT] or [own.failed])
+        last = max([claim.at for _, claim in claims if claim.kind is not Kind.WAIT] or [own.failed])
         last = max(last, own.failed)
         if now >= last + max(FRESH, self.step * RANKS):
             return None
+        found = strength([voice for voice, _ in claims])
         until = last + self.step * min(RANKS, rank(endpoint, self.me, others))
         if until > now:
-            return len(claims), Held(until, False)
-        return len(claims), Held(last + max(FRESH, self.step * RANKS), True)
+            return found, Held(until, False)
+        return found, Held(last + max(FRESH, self.step * RANKS), True)
 
     def _bounded(self, found: dict[str, tuple[int, Held]], now: int) -> dict[str, Held]:
         """Hearsay takes no destination's last route, nor more than a part of all; there calls go one at a time."""
@@ -336,11 +448,12 @@
         Two witnesses that agree, or one and an own call that was refused since: one alone could starve all.
         """
         own = self._own.get(endpoint) or Own()
-        told = sorted(w.limit.value / 1_000 for name, w in self._heard.get(endpoint, {}).items()
-                      if w.limit is not None and w.limit.at > own.limit_at and name not in self.voiceless)
-        if len(told) == 1 and own.refused > own.limit_at:
-            return told[0]
-        pairs = [(b - a, b) for a, b in zip(told, told[1:], strict=False) if b - a <= 2 * NEAR * b]
+        told = sorted((w.limit.value / 1_000, voice) for voice, w in self._heard.get(endpoint, {}).items()
+                      if w.limit is not None and w.limit.at > own.limit_at and self._believed(voice))
+        if len({voice.witness for _, voice in told}) == 1 and own.refused > own.limit_at:
+            return told[-1][0]  # by several ways the same; if not, one of them lies, and the largest starves least
+        pairs = [(b - a, b) for n, (a, one) in enumerate(told) for b, other in told[n + 1:]
+                 if b - a <= 2 * NEAR * b and agreed((one, other))]
         return min(pairs)[1] if pairs else 0.0
 
     # Time
@@ -361,24 +474,36 @@
     def members(self, names: Iterable[str]) -> None:
         """The members that there are: marks of others are forgotten."""
         names = set(names)
-        self.marks = {name: marks for name, marks in self.marks.items() if name in names}
-        self.voiceless &= names
-
-    def tick(self, now: int, others: list[str], room: int) -> Out:
-        """Words that are due, in datagrams of about so many bytes in all."""
+        self.marks = {voice: marks for voice, marks in self.marks.items() if voice.by or voice.witness in names}
+        made_up = len(self.marks) - MOST_MARKS - len(names)
+        if made_up > 0:  # a broker may make up any number of witnesses: those with the fewest marks are forgotten
+            least = sorted((voice for voice in self.marks if voice.by and voice.witness), key=lambda v: self.marks[v])
+            for voice in least[:made_up]:
+                del self.marks[voice]
+        self.voiceless &= self.marks.keys()
+
+    def tick(self, now: int, others: list[str], room: int,
+             ways: Callable[[int], list[str]] | None = None) -> Out:
+        """Words that are due, in datagrams of about so many bytes in all; ``ways``: a destination's brokers."""
         if self.silent:
             return []
         whom: dict[str, list[Word]] = {}
         most = room // WORD
         for (endpoint, _), told in self._telling.items():
-            if not told.left and told.rounds < ROUNDS and now >= told.next:
+            if not told.left and not told.owners and told.rounds < ROUNDS and now >= told.next:
                 told.left = self._random.sample(others, len(others))
+                if ways is not None and endpoint in self._routes:
+                    told.owners = list(ways(self._routes[endpoint]))
                 told.next = now + (AGAIN << told.rounds)
                 told.rounds += 1
-            if not told.left or told.kind is not Kind.LIMIT and now - told.at > FRESH:
-                told.left = []
+            if not told.left and not told.owners or told.kind is not Kind.LIMIT and now - told.at > FRESH:
+                told.left, told.owners = [], []
                 continue
             word = self._word(endpoint, told, now)
+            while told.owners and (len(whom) < most or told.owners[-1] in whom):
+                if endpoint in self._routes:
+                    whom.setdefault(told.owners[-1], []).append(Publish(self._routes[endpoint], word))
+                told.owners.pop()
             while told.left and (len(whom) < most or told.left[-1] in whom):
                 whom.setdefault(told.left.pop(), []).append(word)
         return list(whom.items())
@@ -404,8 +529,8 @@
             held = holds.get(endpoint)
             last = max(said, key=lambda claim: claim.at, default=None)
             found[endpoint] = {
-                "witnesses": len(heard), "last": last.kind.name.lower() if last else "limit",
-                "age_ms": (now - last.at) // MS if last else 0,
+                "witnesses": len({voice.witness for voice in heard}),
+                "last": last.kind.name.lower() if last else "limit", "age_ms": (now - last.at) // MS if last else 0,
                 "held": "no" if held is None else "one at a time" if held.one else f"{(held.until - now) // MS} ms",
                 "limit": f"{self.limit(endpoint, now):g}"}
         return found
--- a/kestrelspar/peers/link.py
+++ b/kestrelspar/peers/link.py
@@ -182,7 +182,7 @@
                          "for_s": (now - m.since) // 1_000_000} for name, m in sorted(peer.members.members.items())],
             "budgets": {key: peer.shares.stand(key, now) for key in peer.shares.names()},
             "endpoints": peer.judgements.stand(now, peer.members.alive()),
-            "not_believed": sorted(peer.judgements.voiceless),
+            "not_believed": peer.judgements.not_believed(),
             "counts": peer.counts.fleet(now),
         }
 
--- a/kestrelspar/peers/peer.py
+++ b/kestrelspar/peers/peer.py
@@ -18,7 +18,7 @@
 from kestrelspar.peers.members import Events, Members, Out
 from kestrelspar.peers.seal import MOST, Dropped, Sealer, encode
 from kestrelspar.peers.shares import Shares, Terms
-from kestrelspar.peers.words import Ack, Nack, Ping, Probe, Said, Seen, Stand, Tally, Want, Word
+from kestrelspar.peers.words import Ack, Nack, Ping, Probe, Renew, Said, Seen, Stand, Tally, Want, Word
 
 MS, SECOND = 1_000, 1_000_000
 TELL_EVERY = 60 * SECOND  # a kind of dropped datagram is told so often at most
@@ -63,10 +63,11 @@
         me = Said(about.name, *about.address, about.terms.number, about.life, 0, Stand.ALIVE, about.group)
         self.members = Members(me, about.seeds, about.period, about.most, now, random)
         self.shares = Shares(about.terms, about.life, now, kept, random, keep)
+        mine = of_region(about.brokers, about.region)
         self.judgements = Judgements(about.name, about.life, about.most_wait, about.most_held, about.step,
-                                     Random(seed + 1))
+                                     Random(seed + 1), about.terms.couriers, about.terms.number,
+                                     set(about.brokers) - set(mine))
         self.counts = Counts(about.name, about.life, now, past or {}, Random(seed + 2))
-        mine = of_region(about.brokers, about.region)
         self.brokers = Subscriber(about.name, about.address, about.terms.number, mine, now,
                                   Random(seed + 3)) if mine else None
         self.news = False  # heard of endpoints since the caller looked
@@ -88,7 +89,8 @@
         """For people, by broker: as ``Subscriber.stand``, and whether it is not believed; none: no brokers."""
         if self.brokers is None:
             return {}
-        return {name: {**each, "voiceless": False} for name, each in self.brokers.stand(now).items()}
+        return {name: {**each, "voiceless": self.judgements.unheard(name)}
+                for name, each in self.brokers.stand(now).items()}
 
     def hear(self, data: bytes, now: int) -> Datagrams:
         """A datagram arrived."""
@@ -106,6 +108,12 @@
             self.members.heard(told.sender, told.life, [w for w in told.words if isinstance(w, Said)], now)
             self._step_back()
             return self._send([], now)
+        if told.sender in self.about.brokers:  # has no place among the couriers, whatever it says
+            if self.brokers is None or told.sender not in self.brokers.places:
+                return []  # of another region: our own pass on what theirs took
+            out = self.brokers.heard(told.sender, told.life, told.words, now)
+            self.news |= self.judgements.relayed(told.sender, told.words, now)
+            return self._send(out, now)
         out = self.members.heard(told.sender, told.life, told.words, now)
         out += self.shares.heard(told.sender, told.life, told.words, now, self.members.number(told.sender))
         number = self.members.number(told.sender)
@@ -120,7 +128,13 @@
         alive = self.members.alive()
         out = self.members.tick(now) + self.shares.tick(now, alive)
         self._fill(now)
-        out += self.judgements.tick(now, alive, int(TELLING * self._room)) + self.counts.tick(now, alive)
+        if self.brokers is None:
+            out += self.judgements.tick(now, alive, int(TELLING * self._room))
+        else:  # who has no group may know of no brokers: it is told as before
+            out += self.brokers.tick(now)
+            plain = [name for name in alive if not self.members.group(name)]
+            out += self.judgements.tick(now, plain, int(TELLING * self._room), self.brokers.ways)
+        out += self.counts.tick(now, alive)
         self.judgements.members(self.members.members)
         return self._send(out, now)
 
@@ -132,11 +146,15 @@
         out = self.members.leave()
         self.shares.gone = ends
         self.shares.silent = self.judgements.silent = self.counts.silent = True
+        if self.brokers is not None:
+            self.brokers.silent = True  # what it subscribed to lapses
         return self._send(out, now)
 
     def _step_back(self) -> None:
         if self.members.stepped_back:
             self.shares.gone = self.judgements.silent = self.counts.silent = True
+            if self.brokers is not None:
+                self.brokers.silent = True
 
     def _due(self, kind: str, now: int) -> bool:
         if now < self._told.get(kind, -(1 << 60)) + TELL_EVERY:
@@ -146,8 +164,11 @@
 
     def _send(self, out: Out, now: int) -> Datagrams:
         """One datagram for each that there is something to say to, filled up with what is held of members."""
-        parts: tuple[Members | Shares | Judgements, ...] = (self.members, self.shares, self.judgements)
+        parts: tuple[Members | Shares | Judgements | Subscriber | None, ...] = (
+            self.members, self.shares, self.judgements, self.brokers)
         for part in parts:
+            if part is None:
+                continue
             self.events += part.events
             part.events = []
         whom: dict[str, list[Word]] = {}
@@ -157,13 +178,14 @@
         self._fill(now)
         sent: Datagrams = []
         for name, said in whom.items():
-            address = self.members.address(name)
+            address = self.about.brokers.get(name) or self.members.address(name)
             if address is None:
                 continue
             for words in self._cut(name, said):
-                words = self._filled_up(name, words, now)
+                if name not in self.about.brokers:  # that has no use for members
+                    words = self._filled_up(name, words, now)
                 data = self.sealer.seal(name, words)
-                urgent = any(isinstance(word, (Ping, Ack, Probe, Nack)) for word in words)
+                urgent = any(isinstance(word, (Ping, Ack, Probe, Nack, Renew)) for word in words)
                 if len(data) > self._room - (0 if urgent else URGENT * most):
                     self.held_back += 1
                     if self._due("held-back", now):
--- a/kestrelspar/peers/words.py
+++ b/kestrelspar/peers/words.py
@@ -127,23 +127,23 @@
 
 
 class Subscribe(Struct, array_like=True, frozen=True, tag="S"):
-    """To a broker: pass on to me what is told of these destinations. A larger ``set`` begins anew with nothing held."""
+    """To a broker: pass on to me what is told of these destinations. A larger ``generation`` begins with none."""
 
-    set: Count
+    generation: Count
     dests: Annotated[list[Dest], Meta(max_length=256)]
 
 
 class Unsubscribe(Struct, array_like=True, frozen=True, tag="U"):
     """To a broker: not of these any more."""
 
-    set: Count
+    generation: Count
     dests: Annotated[list[Dest], Meta(max_length=256)]
 
 
 class Renew(Struct, array_like=True, frozen=True, tag="R"):
     """To a broker: who and where I am, and how many destinations you should hold for me, with their digest.
 
-    ``known``: the highest life of this broker that I have heard; ``set``: as in ``Subscribe``.
+    ``known``: the highest life of this broker that I have heard; ``generation``: as in ``Subscribe``.
     """
 
     n: Count
@@ -151,7 +151,7 @@
     port: Annotated[int, Meta(ge=1, le=65535)]
     number: Count
     known: Count
-    set: Count
+    generation: Count
     count: Annotated[int, Meta(ge=0, le=1 << 20)]
     digest: Digest
 
--- a/tests/peers/test_judgements.py
+++ b/tests/peers/test_judgements.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from kestrelspar.peers.judgements import FRESH, RANKS, WITNESSES, Held, Judgements, Kind, Outcome, rank
+from kestrelspar.peers.judgements import FRESH, RANKS, WITNESSES, Held, Judgements, Kind, Outcome, Voice, rank
 from kestrelspar.peers.members import MS, SECOND
 from kestrelspar.peers.words import Seen
 
@@ -120,7 +120,7 @@
     lies: list[Step] = [step for n in range(3) for step in (
         (50, "n1", WAIT, "a1", 900), (20, "me", OK, "a1", 0))]
     now = play(j, lies)
-    assert [event for event, _ in j.events] == ["peers-not-believed"] and j.voiceless == {"n1"}
+    assert [event for event, _ in j.events] == ["peers-not-believed"] and j.voiceless == {Voice("n1")}
     j.heard("n1", 1, [Seen("b1", WAIT, 0, 900, 100)], now)
     assert j.holds(now, OTHERS) == {}
     j.heard("n2", 1, [Seen("b1", WAIT, 0, 900, 1)], now)
@@ -135,7 +135,7 @@
         j.saw("only", OK, now + n * MS, now + n * MS)
     assert "n3" not in j.voiceless, "one word is weighed once"
     j.members(["n2"])
-    assert j.marks.keys() <= {"n2"}
+    assert j.marks.keys() <= {Voice("n2")}
 
 
 @pytest.mark.parametrize(("steps", "limit"), [
--- a/tests/peers/test_peer.py
+++ b/tests/peers/test_peer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from kestrelspar.lab.model import SECOND, Net
-from kestrelspar.peers.judgements import Kind, Outcome
+from kestrelspar.peers.judgements import Kind, Outcome, Voice
 from kestrelspar.peers.peer import Peer
 from kestrelspar.peers.words import Said, Seen, Stand
 
@@ -42,8 +42,8 @@
     now = net.nodes["n0"].clock(net.now)
     words = [Seen("x", Kind.DOWN, 0, 0, 1)]
     hears.hear(says.sealer.seal("n0", [*words]), now)
-    assert list(hears.judgements._heard["x"]) == ["n1"]
+    assert list(hears.judgements._heard["x"]) == [Voice("n1")]
     says.sealer.name = "n9"  # the same key, another name, and a place beyond the number of couriers
     hears.hear(says.sealer.seal("n0", [*words]), now)
     hears.hear(says.sealer.seal("n0", [Said("n9", "10.0.0.7", 5, 3, 1, 0, Stand.ALIVE), *words]), now)
-    assert list(hears.judgements._heard["x"]) == ["n1"]
+    assert list(hears.judgements._heard["x"]) == [Voice("n1")]
