--- a/kestrelspar/lab/rig.py
+++ b/kestrelspar/lab/rig.py
@@ -287,6 +287,10 @@
         """Where a courier sends what it has to say to each of the others."""
         return {to: wire.address for (a, to), wire in self.wires.items() if a == sender}
 
+    def about(self, name: str) -> dict[str, Any]:
+        """What a courier is told beside its name, for one that is played here: see ``peer.About``."""
+        return {"address": self.nodes[name].peers}
+
     def node(self, name: str) -> Node:
         """A courier or a broker."""
         return self.brokers[name] if name in self.brokers else self.nodes[name]
--- a/kestrelspar/lab/zones.py
+++ b/kestrelspar/lab/zones.py
@@ -42,6 +42,14 @@
         return {name: self.address(name) for name in self.nodes
                 if name != sender and (sender in self.plain or self.zones[name] == self.zones[sender])}
 
+    def about(self, name: str) -> dict[str, Any]:
+        """See ``Rig.about``."""
+        told: dict[str, Any] = {"address": self.address(name)}
+        if name in self.plain:
+            return told
+        region, zone = self.zones[name]
+        return told | {"region": region, "group": zone, "brokers": {name: self.address(name) for name in self.brokers}}
+
     def address(self, name: str) -> tuple[str, int]:
         """Where others send to it."""
         return self.relays[self.paths.groups[name]].address
--- a/kestrelspar/peers/telling.py
+++ b/kestrelspar/peers/telling.py
@@ -25,7 +25,7 @@
             if name not in LOUD:
                 logs.event(name, logs.DEBUG if name in QUIET else logs.INFO, **fields)
                 continue
-            which = name, str(fields.get("peer", ""))
+            which = name, str(fields.get("peer", fields.get("courier", "")))
             if self._loop.now >= self._told.get(which, -ONCE_IN) + ONCE_IN:
                 self._told[which] = self._loop.now
                 logs.error(name, **fields)
