Couriers in zones with brokers on the model: eleven faults, judges of budgets, holds and liars

lab/brokered.py: 30 couriers in 3 zones and 2 regions with 3 brokers each call endpoints that go down and come back. Seen there: a broker that makes up witnesses kept some routes waiting for ten seconds, as honest words on endpoints that are well (BACK) took its marks off as fast as its lies put them on; a call that contradicts anything of a way now counts as wrong for it, whatever else came by it. Judgement tests have a table of witnesses and ways.

--- a/kestrelspar/lab/model.py
+++ b/kestrelspar/lab/model.py
@@ -93,14 +93,18 @@
 
     def __init__(self, couriers: int, seed: int, faults: Faults | None = None, drift: float = 0.0,
                  terms: dict[str, float] | None = None, bytes_a_second: int = 50_000, seeds: int = 3,
-                 brokers: dict[str, int] | None = None, place: Callable[[int], tuple[str, str]] | None = None) -> None:
-        """``brokers``: how many in each region; ``place``: of a courier by its number, its region and its group."""
+                 brokers: dict[str, int] | None = None, place: Callable[[int], tuple[str, str]] | None = None,
+                 step: int = SECOND) -> None:
+        """``brokers``: how many in each region; ``place``: of a courier by its number, its region and its group.
+
+        ``step``: between couriers that try an endpoint which is out.
+        """
         self.random = Random(seed)
         self.now = 0
         self.faults = faults or Faults()
         self.cut: Callable[[str, str], bool] = lambda sender, to: False  # whether nothing gets through, by direction
         self.judge = Judge()
-        self.terms, self.bytes_a_second = terms or {}, bytes_a_second
+        self.terms, self.bytes_a_second, self.step = terms or {}, bytes_a_second, step
         self.events: list[tuple[int, str, str, dict[str, object]]] = []  # (when, who, event, fields)
         self._order = itertools.count()
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
@@ -154,7 +158,7 @@
             return
         about = About(name, node.address, node.life, [KEY], self._seeds,
                       Terms(len(self.nodes), node.number, **self.terms), self.bytes_a_second,  # type: ignore[arg-type]
-                      **({} if name in self.old else  # type: ignore[arg-type]
+                      step=self.step, **({} if name in self.old else  # type: ignore[arg-type]
                          {"group": node.group, "region": node.region, "brokers": told}))
 
         def keep(lent: dict[str, int]) -> bool:
--- a/kestrelspar/peers/brokers.py
+++ b/kestrelspar/peers/brokers.py
@@ -384,7 +384,7 @@
     @property
     def answering(self) -> bool:
         """Whether it counts as there."""
-        return self.missed < MISSED
+        return self.missed < MISSED * TRIES
 
 
 class Who(NamedTuple):
@@ -670,7 +670,8 @@
             if now >= other.next:
                 other.missed += other.open
                 self._n += 1
-                other.n, other.open, other.next = self._n, True, now + int(TERM / 3 * self._random.uniform(0.8, 1.0))
+                span = RETRY if 0 < other.missed < MISSED * TRIES else TERM // 3
+                other.n, other.open, other.next = self._n, True, now + int(span * self._random.uniform(0.8, 1.0))
                 out += self._send(name, self.about.brokers[name], [Ping(other.n)], now, True)
         if now >= self._swept + SWEEP:
             self._swept = now
--- a/kestrelspar/peers/judgements.py
+++ b/kestrelspar/peers/judgements.py
@@ -161,8 +161,10 @@
 
     def __str__(self) -> str:
         """For people."""
-        way = f"by {self.by}" + (f" from {self.origin}" if self.origin not in ("", ANY) else "") if self.by else ""
-        return f"{self.witness} {way}".strip()
+        if not self.by:
+            return self.witness
+        origin = " and all it passes on" if self.origin == ANY else f" from {self.origin}" if self.origin else ""
+        return f"{self.witness} by {self.by}{origin}".strip()
 
 
 ANY = "*"
@@ -297,7 +299,7 @@
         del known[min((voice for voice in same if voice.origin == most), key=lambda voice: known[voice].heard)]
 
     def _believed(self, voice: Voice) -> bool:
-        return not any(level in self.voiceless for level, _ in voice.levels())
+        return not self.voiceless or not any(level in self.voiceless for level, _ in voice.levels())
 
     def unheard(self, broker: str) -> bool:
         """Whether nothing is believed that comes by this broker from its own couriers."""
@@ -332,7 +334,7 @@
 
     def _weigh(self, endpoint: str, sent: int, now: int, served: bool) -> None:
         """An own call bears out what was told before it was sent, or contradicts it: each word once."""
-        ways: set[tuple[Voice, bool]] = set()
+        ways: dict[Voice, tuple[bool, Kind]] = {}
         for voice, witness in self._heard.get(endpoint, {}).items():
             claim = witness.health
             if claim is None or claim.marked or sent <= claim.at or now - claim.at > FRESH \
@@ -343,13 +345,14 @@
             (level, most), *above = voice.levels()
             silent = level in self.voiceless
             self._mark(level, most, wrong, endpoint, claim.kind)
-            for level, most in above:
+            for level, _ in above:
                 if wrong and silent:  # it is not heard already: its broker only passed it on
                     break
                 silent = level in self.voiceless
-                if (level, wrong) not in ways:  # one call tells one thing of a way, however many say it
-                    ways.add((level, wrong))
-                    self._mark(level, most, wrong, endpoint, claim.kind)
+                if wrong or level not in ways:
+                    ways[level] = wrong, claim.kind
+        for level, (wrong, kind) in ways.items():  # one call tells one thing of a way, however many came by it
+            self._mark(level, BROKER_WRONG if level.origin == ANY else WAY_WRONG, wrong, endpoint, kind)
 
     def _mark(self, level: Voice, most: float, wrong: bool, endpoint: str, kind: Kind) -> None:
         marks = self.marks.get(level, 0.0)
--- /dev/null
+++ b/tests/peers/test_broker_model.py
@@ -0,0 +1,37 @@
+"""Couriers in zones with brokers on the modelled network, one fault a play: see lab/brokered.py for the judges."""
+
+from __future__ import annotations
+
+import pytest
+
+from kestrelspar.lab.brokered import CASES, heard, play
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_whatever_happens_nobody_is_above_a_budget_or_held_for_longer_than_the_bound(case: str) -> None:
+    looks = 0
+    more = range(2, 4) if "lying" in case else range(2, 8)
+    for seed, couriers in ((1, 30), *((seed, 12) for seed in more)):
+        w = play(case, seed, couriers)
+        assert not w.faults, (seed, w.faults[:3])
+        assert w.seen["served"] > 100 * couriers and w.seen["none free"] < 0.01 * w.seen["served"], w.seen
+        assert w.lied or w.seen["failed"] > 0
+        looks += w.seen["looks with something left alone"]
+    assert looks, "nothing was ever held, so nothing was tried"
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_all_whom_it_concerns_know_a_word_at_once_and_nobody_else_is_told(seed: int) -> None:
+    found = heard(seed, 60, group=20)
+    assert found.seconds <= 0.2 and found.knew == 1.0, "a tick here, a tick there, three ways between"
+    assert found.others == 0 and 0 < found.witness < 1_500
+
+
+def test_with_thirty_percent_lost_nearly_all_know_within_three_seconds() -> None:
+    assert sum(heard(seed, 30, group=10, loss=0.3).knew for seed in range(6)) / 6 >= 0.95
+
+
+def test_by_brokers_a_word_costs_its_witness_the_same_in_a_fleet_four_times_as_large() -> None:
+    few, many = (heard(1, members, group=20) for members in (40, 120))
+    assert many.witness < 1.2 * few.witness
+    assert heard(1, 120, group=20, old=True).witness > 20 * many.witness, "all to all"
--- a/tests/peers/test_judgements.py
+++ b/tests/peers/test_judgements.py
@@ -3,12 +3,28 @@
 from __future__ import annotations
 
 from random import Random
+from typing import Any
 
 import pytest
 
-from kestrelspar.peers.judgements import FRESH, RANKS, WITNESSES, Held, Judgements, Kind, Outcome, Voice, rank
+from kestrelspar.peers.judgements import (
+    ANY,
+    BROKER_WRONG,
+    FRESH,
+    MOST_MARKS,
+    RANKS,
+    WAY_WRONG,
+    WITNESSES,
+    Held,
+    Judgements,
+    Kind,
+    Outcome,
+    Voice,
+    agreed,
+    rank,
+)
 from kestrelspar.peers.members import MS, SECOND
-from kestrelspar.peers.words import Seen
+from kestrelspar.peers.words import Publish, Relayed, Seen
 
 T = 100 * SECOND
 ROUTES = {"a1": 1, "a2": 1, "b1": 2, "b2": 2, "only": 3}
@@ -200,3 +216,180 @@
     j.holds(now, OTHERS)
     j.saw("b1", OK, now + 100 * MS, now + 200 * MS)
     assert not j.cold(now + 2 * SECOND, ramp).get("b1", 0), "it was never out"
+
+
+# By brokers: x/b0 and x/b1 are of the own region, y/b0 and y/b1 of another. A voice: witness, by, origin.
+
+ORIGINS = ("y/b0", "y/b1")
+FORTY = 40
+
+
+def brokered(me: str = "zz", number: int = 39, **more: Any) -> Judgements:
+    made = Judgements(me, 1, MOST_WAIT, 0.5, STEP, Random(1), FORTY, number, ORIGINS, **more)
+    made.routes(dict(ROUTES))
+    return made
+
+
+def hear(j: Judgements, now: int, voice: tuple[str, ...], kind: Kind = DOWN, endpoint: str = "a1", n: int = 1,
+         value: int = 0, age: int = 0) -> bool:
+    witness, by, origin = (*voice, "", "")[:3]
+    word = Seen(endpoint, kind, age, value, n)
+    if not by:
+        return j.heard(witness, 1, [word], now)
+    return j.relayed(by, [Relayed(witness, int(witness[1:]), 1, word, origin)], now)
+
+
+W1B0, W1B1, W2B0, W2B1 = ("n1", "x/b0"), ("n1", "x/b1"), ("n2", "x/b0"), ("n2", "x/b1")
+VOICES: list[tuple[str, list[tuple[str, ...]], bool]] = [
+    ("one witness by one broker", [W1B0], False),
+    ("one witness by both: a lying courier", [W1B0, W1B1], False),
+    ("one witness by both and directly", [W1B0, W1B1, ("n1",)], False),
+    ("two witnesses by one broker: a lying broker", [W1B0, W2B0], False),
+    ("five by one broker", [(f"n{n}", "x/b0") for n in range(1, 6)], False),
+    ("two witnesses, each by another broker", [W1B0, W2B1], True),
+    ("two by one, one of them by the other too", [W1B0, W2B0, W1B1], True),
+    ("all of both", [W1B0, W1B1, W2B0, W2B1], True),
+    ("one directly, another by a broker", [("n1",), W2B0], True),
+    ("one directly and by a broker", [("n1",), W1B0], False),
+    ("two directly", [("n1",), ("n2",)], True),
+    ("two by both brokers, of which one in another region passed both on", [("n1", "x/b0", "y/b0"),
+                                                                              ("n2", "x/b1", "y/b0")], False),
+    ("five so", [(f"n{n}", f"x/b{n % 2}", "y/b0") for n in range(1, 6)], False),
+    ("two by both brokers, from two in another region", [("n1", "x/b0", "y/b0"), ("n2", "x/b1", "y/b1")], True),
+    ("two by one broker, from two in another region", [("n1", "x/b0", "y/b0"), ("n2", "x/b0", "y/b1")], False),
+    ("one here, one from another region, by both", [W1B0, ("n2", "x/b1", "y/b0")], True),
+    ("one here, one from another region, by one", [W1B0, ("n2", "x/b0", "y/b0")], False),
+]
+
+
+@pytest.mark.parametrize(("name", "voices", "held"), VOICES, ids=[name for name, *_ in VOICES])
+def test_no_single_liar_is_two_witnesses(name: str, voices: list[tuple[str, ...]], held: bool) -> None:
+    assert agreed([Voice(*voice) for voice in voices]) is held
+    j, limits = brokered(), brokered()
+    for voice in voices:
+        hear(j, T, voice)
+        hear(limits, T, voice, LIMIT, value=20_000)
+    assert bool(j.holds(T, OTHERS)) is held
+    pairs = any(agreed((Voice(*a), Voice(*b))) for a in voices for b in voices)
+    assert limits.limit("a1", T) == (20.0 if pairs else 0.0) and pairs is held
+    if len({witness for witness, *_ in voices}) == 1:  # one, and an own call that was refused or failed
+        limits.saw("a1", REFUSED, T + 9 * MS, T + 10 * MS)
+        assert limits.limit("a1", T + 10 * MS) == 20.0
+    j.saw("a1", FAILED, T + 9 * MS, T + 10 * MS)
+    assert set(j.holds(T + 10 * MS, OTHERS)) == {"a1"}
+
+
+def test_what_comes_directly_or_by_another_broker_is_not_overwritten_nor_pushed_out() -> None:
+    j = brokered()
+    for voice in (W1B0, W1B1, ("n1",)):
+        hear(j, T, voice, n=5)
+    assert hear(j, T, W1B0, BACK, n=1 << 50) and not hear(j, T, W1B1, BACK, n=4)
+    for n in range(2, 39):
+        hear(j, T + n, (f"n{n}", "x/b0"), BACK)
+        hear(j, T + n, (f"n{n}", "x/b0", "y/b0"), BACK)
+    known = j._heard["a1"]
+    assert {Voice("n1", "x/b1"), Voice("n1")} <= known.keys() and len(known) == 2 + WITNESSES
+    by_origin = [voice.origin for voice in known if voice.by == "x/b0"]
+    assert abs(by_origin.count("") - by_origin.count("y/b0")) <= 1, "nor does one origin push out what came here"
+
+
+def test_only_what_has_a_place_and_comes_from_where_the_settings_say_is_heard() -> None:
+    j = brokered("n7", 7)
+    assert not hear(j, T, ("n40", "x/b0")) and not hear(j, T, ("n1", "x/b0", "z/b0"))
+    assert not hear(j, T, ("n7", "x/b0")) and not hear(j, T, W1B0, endpoint="zz") and j._heard == {}
+    assert hear(j, T, W1B0) and not hear(j, T, W1B0) and not j.events
+    for n in range(3):
+        j.relayed("x/b0", [Relayed("rival", 7, 1, Seen("a1", DOWN, 0, 0, n), "")], T)
+    assert [(event, fields["peer"]) for event, fields in j.events] == [("peers-number-twice", "rival")]
+
+
+def contradict(j: Judgements, now: int, n: int, *voices: tuple[str, ...], endpoint: str = "a1") -> int:
+    """All of these say that it waits; then an own call is served there."""
+    for voice in voices:
+        hear(j, now, voice, WAIT, n=n, value=900, endpoint=endpoint)
+    j.saw(endpoint, OK, now + MS, now + 2 * MS)
+    return now + 10 * MS
+
+
+def test_one_liar_silences_no_honest_broker() -> None:
+    j, now = brokered(), T
+    for n in range(1, 60):
+        now = contradict(j, now, n, W1B0, W1B1)
+    assert j.voiceless == {Voice("n1", "x/b0"), Voice("n1", "x/b1")}
+    assert j.marks[Voice("", "x/b0", "")] == 3 and not j.unheard("x/b0")
+    hear(j, now, W2B0)
+    hear(j, now, ("n3", "x/b1"))
+    assert set(j.holds(now, OTHERS)) == {"a1"}, "others are heard by the same brokers"
+
+
+def test_a_broker_that_makes_up_witnesses_is_silent_after_twelve_calls_and_heard_again_when_it_is_right() -> None:
+    j, now, calls = brokered(), T, 0
+    while not j.unheard("x/b0"):
+        calls += 1
+        now = contradict(j, now, calls, *((f"n{(3 * calls + k) % 38}", "x/b0") for k in range(3)))
+    assert calls == WAY_WRONG and ("peers-not-believed", "by x/b0") in [(e, f["peer"]) for e, f in j.events]
+    hear(j, now, ("n30", "x/b0"), WAIT, "b1", n=99, value=900)
+    assert j.holds(now, OTHERS) == {} and "by x/b0" in j.not_believed()
+    hear(j, now, ("n30", "x/b1"), WAIT, "b1", n=99, value=900)
+    assert set(j.holds(now, OTHERS)) == {"b1"}, "the other is heard"
+    for n in range(40):
+        now += SECOND
+        hear(j, now, ("n31", "x/b0"), DOWN, "b2", n=200 + n)
+        j.saw("b2", FAILED, now + MS, now + 2 * MS)
+    assert not j.unheard("x/b0")
+
+
+def test_one_in_another_region_silences_itself_and_a_broker_that_names_many_origins_is_silent_too() -> None:
+    j, now = brokered(), T
+    for n in range(1, 40):
+        now = contradict(j, now, n, *((f"n{n}", by, "y/b0") for by in ("x/b0", "x/b1")))
+    assert {Voice("", "x/b0", "y/b0"), Voice("", "x/b1", "y/b0")} <= j.voiceless and not j.unheard("x/b0")
+    hear(j, now, ("n1", "x/b0", "y/b1"))
+    hear(j, now, W2B1)
+    assert set(j.holds(now, OTHERS)) == {"a1"}
+    j, now, calls = brokered(), T, 0
+    while not j.unheard("x/b0"):
+        calls += 1
+        now = contradict(j, now, calls, (f"n{calls % 38}", "x/b0", ORIGINS[calls % 2]))
+    assert calls == BROKER_WRONG and Voice("", "x/b0", ANY) in j.voiceless
+
+
+def test_one_call_tells_one_thing_of_a_way_however_many_came_by_it() -> None:
+    j = brokered()
+    contradict(j, T, 1, *((f"n{n}", "x/b0") for n in range(WITNESSES)))
+    assert j.marks[Voice("", "x/b0", "")] == 1.0 and not j.unheard("x/b0")
+
+
+def test_marks_of_made_up_witnesses_are_bounded_and_a_ways_own_are_kept() -> None:
+    j = brokered()
+    for n in range(MOST_MARKS + 500):
+        j.marks[Voice(f"w{n}", "x/b0")] = 1.0
+    j.marks[Voice("", "x/b0")] = 5.0
+    j.marks[Voice("liar", "x/b1")] = 6.0
+    j.members(["n1"])
+    assert len(j.marks) <= MOST_MARKS + 1 and {Voice("", "x/b0"), Voice("liar", "x/b1")} <= j.marks.keys()
+
+
+def test_own_words_go_to_the_owners_and_to_those_that_know_none_some_times() -> None:
+    j = brokered()
+    j.saw("b1", FAILED, T - 10 * MS, T)
+    found: dict[str, list[object]] = {}
+    for at in range(60):
+        for name, words in j.tick(T + at * 50 * MS, ["old"], 10**6, lambda dest: ["x/b1", "x/b0"] if dest == 2 else []):
+            found.setdefault(name, []).extend(words)
+    assert {name: len(words) for name, words in found.items()} == {"x/b0": 4, "x/b1": 4, "old": 4}
+    assert found["x/b0"][0] == Publish(2, Seen("b1", DOWN, 0, 0, 1)) and found["old"][0] == Seen("b1", DOWN, 0, 0, 1)
+    j.saw("only", FAILED, T + 4 * SECOND, T + 4 * SECOND + MS)
+    assert j.tick(T + 4 * SECOND + MS, [], 10**6, lambda dest: []) == [], "no broker answers: nothing is said"
+
+
+def test_enough_have_told_only_where_no_broker_could_have_made_them_up() -> None:
+    for ways, rounds in ((["x/b0"], 4), (["x/b0", "x/b1"], 1)):
+        j = brokered()
+        for n in range(1, 5):
+            for by in ways:
+                hear(j, T, (f"n{n}", by), endpoint="b1")
+        j.saw("b1", FAILED, T, T + MS)
+        told = [words for at in range(60)
+                for _, words in j.tick(T + MS + at * 50 * MS, [], 10**6, lambda dest: ["x/b1"])]
+        assert len(told) == rounds
