--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -392,11 +392,17 @@
             "forgotten after "
             f"{amount(members.KEEP_DEAD / 1e6, 's')}. Meanwhile each side goes on with its parts of limits, hears no "
             f"words of the other's, and lends it nothing.",
-            "", f"A datagram has room for {members.ROOM} members, and each courier sends about two a second (one "
-                f"question, "
-            f"one answer): {T.wave} changes at once take {amount(T.wave / members.ROOM / 2, 's')} to be passed on "
-            f"once by "
-            f"each, beside the time above.", ""]
+            "",
+            f"A wave of {amount(T.wave / N, 'share')} of the members that restart within a second was played up to "
+            f"{max(reading.fit('members-wave', 'known').means):,} members. Carried on to {N:,}: the others know of "
+            f"all after "
+            f"{amount(reading.at('members-wave', 'known', N), 's')}, and these know all after "
+            f"{amount(reading.at('members-wave', 'joined', N), 's')}; in groups of {T.zone}, "
+            f"{amount(reading.at('members-wave', 'known', T.zone), 's')} and "
+            f"{amount(reading.at('members-wave', 'joined', T.zone), 's')}. A datagram has room for {members.ROOM} "
+            f"members, and "
+            f"a courier sends about {SAID} a second (a question, an answer), so {T.wave} changes take "
+            f"{amount(T.wave / members.ROOM / SAID, 's')} at the least to be passed on once by each.", ""]
     return ["## What losses cost", "", "Worked out from the slopes above, carried on to the target, and the "
                                        "assumptions.",
             "", *_guarded(lines)]
@@ -633,7 +639,9 @@
         "says; "
         "that they fit is ruled out by their number alone.",
         "- What a real courier pays for receiving: the kernel's part of a datagram, and its buffers, are in no slope.",
-        "- A wave of restarts was not played: what it costs is worked out from slopes of single ones.",
+        "- A wave of restarts was played for members only: not with lists, journals and clients, and not for a whole "
+        "zone "
+        "gone for good.",
         "- What groups say to each other, what brokers bear when one of them is gone, and how fast an order by hash "
         "settles "
         "after losses: not built, so not measured.",
--- a/benchmarks/capacity_peers.py
+++ b/benchmarks/capacity_peers.py
@@ -412,45 +412,51 @@
 SLOPES = [
     Slope("members", "members", NET, {"sent": "bytes", "processor": "ms", "least-known": "count", "held-back": "count",
                                       "all-known": "s"}, members,
-          "Starts spread over 20 s; 60 s after the first one, what the one that knows least knows; then 20 s at rest: "
+          f"Starts spread over {STARTS // SECOND} s; {JOINED // SECOND} s after the first one, what the one that "
+          f"knows least knows; then {REST // SECOND} s at rest: "
           "bytes sent and processor time a second by each; the modelled network, the model's own processor time in it",
           setting=MODELLED),
     Slope("members-churn", "members", NET, {"sent": "bytes", "processor": "ms", "loss-known": "s",
                                             "wrongly-dead": "count"}, churn,
-          "All told of all; one ends for good, and one is started again every 5 s, for 40 s: bytes and processor time "
+          f"All told of all; one ends for good, and one is started again every {RESTART_EVERY // SECOND} s, for "
+          f"{CHURN // SECOND} s: bytes and processor time "
           "a second by each, and the time until 99 % hold the lost one for dead; the modelled network",
           setting=MODELLED),
     Slope("members-wave", "members", NET, {"known": "s", "joined": "s", "sent": "bytes", "held-back": "count"}, wave,
-          "All told of all; one in twenty ends at once and all of these start a second later: time until 99 % of what "
-          "the "
-          "others hold of them is new, time until they know 99 % of all (40 s: not within these), bytes a second by "
-          "each "
-          "in 40 s, datagrams held back; the modelled network", setting=MODELLED),
+          f"All told of all; {TARGET.wave / TARGET.couriers:.0%} of them end at once and start a second later: time "
+          f"until {EVERYBODY:.0%} of what the others hold of them is new, time until they know {EVERYBODY:.0%} of all "
+          f"({WAVE_FOR // SECOND} s: not within these), bytes a second by each in {WAVE_FOR // SECOND} s, datagrams "
+          f"held back; the modelled network", setting=MODELLED),
     Slope("member-alone", "members", HELD, {"memory": "MB", "processor": "ms", "sent": "bytes"}, alone,
           "One whole courier's modules that know so many members (the bound on members raised), among others that are "
-          "only played, 60 s at the target's rate of restarts: memory held, processor time and bytes a second",
+          f"only played, {ALONE // SECOND} s at the target's rate of restarts: memory held, processor time and bytes "
+          f"a second",
           setting=PURE),
     Slope("word", "members", NET, {"sent": "bytes", "known": "s", "told": "count"}, word,
-          "All told of all; one tells of a failed call: bytes it sends in 5 s, time until 99 % know, how many know "
-          "after 5 s; the modelled network", setting=MODELLED),
+          f"All told of all; one tells of a failed call: bytes it sends in {WORD_FOR // SECOND} s, time until "
+          f"{EVERYBODY:.0%} know, how many know "
+          f"after {WORD_FOR // SECOND} s; the modelled network", setting=MODELLED),
     Slope("word-alone", "members", HELD, {"told": "count", "sent": "bytes", "last": "s", "processor": "ms"},
           word_alone,
           "One courier that knows so many members tells of a failed call: how many it tells before the word is too old "
           "to be told, bytes of that, when the last new one is told, processor time", setting=PURE),
     Slope("budgets", "members", (10, 50, 100, 200), {"served": "share", "span": "s", "sent": "bytes",
                                                      "above": "count"}, budgets,
-          "One limit of 50 calls a second shared by so many, half of a load of 0.8 at one of them: part of the "
+          f"One limit of {CALLS} calls a second shared by so many, half of a load of {LOAD} at one of them: part of "
+          f"the "
           "messages served, the span for which the limit is kept, bytes a second by each, instants above the limit; "
           "the modelled network", setting=MODELLED),
     Slope("budgets-held", "limits", (1_000, 5_000, 20_000, 50_000), {"memory": "MB", "tick": "ms"}, budgets_held,
           "One courier's part of so many limits: memory, and processor time of one tick, of which there are twenty a "
           "second unless the module's state is large", setting=PURE),
     Slope("counts", "members", NET, {"known": "s", "whole": "count", "heard": "bytes"}, counts,
-          "All told of all, each with 20 counters; one asks all: time until it holds 99 % of them whole (5 s: not "
-          "within these), how many it holds whole after 5 s, bytes that it hears; the modelled network",
+          f"All told of all, each with {COUNTERS} counters; one asks all: time until it holds {EVERYBODY:.0%} of them "
+          f"whole ({COUNTS_FOR // SECOND} s: not "
+          f"within these), how many it holds whole after {COUNTS_FOR // SECOND} s, bytes that it hears; the modelled "
+          f"network",
           setting=MODELLED),
     Slope("counts-held", "couriers", (500, 1_000, 2_000, 4_000), {"memory": "MB", "sums": "ms", "couriers": "count"},
-          counts_held, "One courier that holds 20 counters of each of so many: memory, and the sums over all",
+          counts_held, f"One courier that holds {COUNTERS} counters of each of so many: memory, and the sums over all",
           setting=PURE),
     Slope("counters", "destinations", (100, 500, 1_000, 5_000), {"memory": "MB", "apart": "count", "told": "bytes"},
           counters, "One courier that counts calls by destination: memory, counters that are kept apart, bytes that "
--- a/benchmarks/capacity_roles.py
+++ b/benchmarks/capacity_roles.py
@@ -180,6 +180,12 @@
     Row(Role.COURIER, "time", "until a loss is known", "members-churn.loss-known at all couriers",
         lambda r: r.at("members-churn", "loss-known", N), "s", A.restart_in, "assumed", By.GROUPS,
         lambda r: r.at("members-churn", "loss-known", T.zone)),
+    Row(Role.COURIER, "time", "until a wave of restarts is known", "members-wave.known at all couriers",
+        lambda r: r.at("members-wave", "known", N), "s", A.restart_in, "assumed", By.GROUPS,
+        lambda r: r.at("members-wave", "known", T.zone)),
+    Row(Role.COURIER, "time", "until those of a wave know all", "members-wave.joined at all couriers",
+        lambda r: r.at("members-wave", "joined", N), "s", A.restart_in, "assumed", By.GROUPS,
+        lambda r: r.at("members-wave", "joined", T.zone)),
     # Courier: words
     Row(Role.COURIER, "messages", "words on what is down, told by one courier",
         "failed calls a second x what each member adds to word.sent x members",
