--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -191,17 +191,18 @@
         for figure, unit in slope.figures.items():
             cells = []
             for size in sizes:
-                values = [row.figures[figure] for row in mine if row.size == size]
-                cells.append(amount(mean(values), unit)
-                             + (f" ({_bare(min(values), unit)} to {_bare(max(values), unit)})"
-                                if min(values) != max(values) else ""))
+                values = [row.figures[figure] for row in mine if row.size == size and figure in row.figures]
+                cells.append(_cell(values, unit))
             told.append([figure, *cells, *_fitted(reading, slope, figure, unit)])
         lines += table(["figure", *(f"{size:,}" for size in sizes), "line", "power", "taken, off"], told)
     return lines
 
 
-def _bare(value: float, unit: str) -> str:
-    return amount(value, unit)
+def _cell(values: list[float], unit: str) -> str:
+    if not values:
+        return "not measured"
+    least, most = amount(min(values), unit), amount(max(values), unit)
+    return amount(mean(values), unit) + (f" ({least} to {most})" if least != most else "")
 
 
 def _fitted(reading: Reading, slope: Slope, figure: str, unit: str) -> tuple[str, str, str]:
