--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -9,7 +9,7 @@
 
 from benchmarks.capacity import Row as Measured
 from benchmarks.capacity import missing
-from benchmarks.capacity_peers import CALLS, LOAD, Played
+from benchmarks.capacity_peers import CALLS, LOAD, RESTART_EVERY, Played
 from benchmarks.capacity_roles import (
     BYTES,
     CONTROL,
@@ -178,7 +178,9 @@
         "Means over runs, least and most in brackets. Fits by least squares on the means: a line a + b n, and a power "
         "c n^k. The line is taken, unless k is clearly above 1 and the power nearer; a figure that falls with the "
         "size is "
-        "held at its last mean. 'Off' is the root of the mean square of what the fit taken is off, by the mean.", "",
+        "held at its last mean. 'Off' is the root of the mean square of what the fit taken is off, by the mean. A "
+        "figure "
+        "that was cut off, by the end of the run or by the bound on bytes, is shown, and no fit is made of it.", "",
     ]
     for slope in slopes.values():
         mine = [row for row in rows if row.name == slope.name]
@@ -191,8 +193,9 @@
         for figure, unit in slope.figures.items():
             cells = []
             for size in sizes:
-                values = [row.figures[figure] for row in mine if row.size == size and figure in row.figures]
-                cells.append(_cell(values, unit))
+                there = [row.figures for row in mine if row.size == size and figure in row.figures]
+                cut = not all(slope.whole(figure, each) for each in there)
+                cells.append(("cut off: " if cut else "") + _cell([each[figure] for each in there], unit))
             told.append([figure, *cells, *_fitted(reading, slope, figure, unit)])
         lines += table(["figure", *(f"{size:,}" for size in sizes), "line", "power", "taken, off"], told)
     return lines
@@ -226,14 +229,16 @@
         except NotMeasured:
             told.append([look.what, f"{look.size:,}", amount(look.value, look.unit), "not measured yet", ""])
             continue
-        here = value.at(look.size)
-        ratio = here.value / look.value
+        here, raw = value.at(look.size), [row.figures[look.figure] for row in reading.rows
+                                          if (row.name, row.size) == (look.slope, look.size)]
+        found = mean(raw) if raw else here.value
+        ratio = found / look.value
         near = 1 / NEAR <= ratio <= NEAR
         says = "confirmed" if near else f"corrected: {times(ratio)} times as much" if ratio > 1 else \
             f"corrected: {amount(ratio, 'share')} of it"
-        measured = "" if look.size in value.means else f" (measured up to {here.up_to:,}, fitted)"
+        measured = "" if raw else f" (measured up to {here.up_to:,}, fitted)"
         told.append([look.what, f"{look.size:,}", amount(look.value, look.unit),
-                     amount(here.value, look.unit) + measured, says])
+                     amount(found, look.unit) + measured, says])
     lines += table(["what", "size", "looked at", "found here", ""], told)
     lines += _guarded(lambda: _lookings(reading))
     return lines
@@ -255,6 +260,7 @@
     largest = max(reading.fit("members", "processor").means)
     model = reading.at("members", "processor", largest)
     one = reading.at("member-alone", "processor", largest)
+    told_all = reading.at("members-churn", "processor", largest)
     lines = [
         f"- *One word takes its witness minutes at {N:,}*: {minutes}. A member costs it {number(each)} bytes, so all "
         f"would "
@@ -262,11 +268,13 @@
         f"word "
         f"on a failure is told for {amount(judgements.FRESH / 1e6, 's')} only, then it is too old. At {N:,} members "
         f"{number(told)} hear of it, the last after {amount(last, 's')}, and the others never.",
-        f"- *Membership at rest costs more and more processor time*: on the model, {amount(model, 'ms')} a second at "
-        f"{largest:,} members; one courier alone that knows as many takes {amount(one, 'ms')}, at {N:,} "
-        f"{amount(reading.at('member-alone', 'processor', N), 'ms')}. What is beyond that is the model's: its queue, "
-        f"and "
-        f"{largest:,} x {largest:,} members held in one machine's caches.",
+        f"- *Membership at rest costs more and more processor time*: {largest:,} members are not at rest by then, "
+        f"starts are "
+        f"still passed on: {amount(model, 'ms')} a second each. Told of all beforehand, and with a restart each "
+        f"{amount(RESTART_EVERY / 1e6, 's')}, they take {amount(told_all, 'ms')} on the model, the model's own in it. "
+        f"One "
+        f"courier alone that knows {largest:,} takes {amount(one, 'ms')}, at {N:,} "
+        f"{amount(reading.at('member-alone', 'processor', N), 'ms')}.",
         f"- *All {N:,} hollow in one process take over {amount(LOOKED_HOLLOW_GB * 1e3, 'MB')}*: "
         f"{confirmed(alone * N / 1e3, LOOKED_HOLLOW_GB)}, {amount(alone, 'MB')} each, {amount(alone * N, 'MB')} "
         f"together.",
@@ -440,7 +448,8 @@
         memory = r.at("open-message", "memory", T.backlog_each)
         start = r.at("open-message", "start-wall", T.backlog_each)
         up_to = max(r.fit("open-message", "memory").means)
-        room = capacity(r)
+        room, held = capacity(r), 1e6 * (1 - T.core) / r.at("backlog-served", "cpu", T.backlog_each)
+        most = max(r.fit("backlog-served", "cpu").means)
         spare = room - T.events_each
         one = T.backlog / T.destinations_down
         own = T.events_of_one * (A.headroom - 1)
@@ -451,9 +460,16 @@
             f"{amount(memory, 'MB')} of memory and {amount(start, 's')} of a start, measured up to {up_to:,} (factor "
             f"{number(T.backlog_each / up_to)}). All lie in one journal, and all are held in memory: "
             f"{number(T.memory_mb)} MB hold {number(_fits_into(r, T.memory_mb))}.", "",
-            f"A core serves {number(room)} messages a second beside control; a courier's backlog drains in {drained}, "
-            f"where "
-            "endpoints take all that comes. They do not: if it is all for what is down, a destination has "
+            f"What it delivers falls with what is open: a message costs "
+            f"{amount(r.at('backlog-served', 'cpu', most), 'us')} "
+            f"of processor time among {most:,}; carried on (factor {number(T.backlog_each / most)}) a core would serve "
+            f"{number(held)} a second, of {number(T.events_each)} that come: the backlog "
+            + ("would not drain. " if held <= T.events_each else
+               f"would drain in {amount(T.backlog_each / (held - T.events_each), 's')}. ")
+            + f"At what a message costs with next to nothing open, a core serves {number(room)} a second beside "
+              f"control, and "
+            f"the backlog drains in {drained}, where endpoints take all that comes. "
+            "They do not: if it is all for what is down, a destination has "
             f"{number(one)} events, and with a limit of {number(A.headroom)} times its mean {number(own)} a second to "
             f"spare: {amount(one / own, 's')}, whatever couriers can do.", ""]
     return ["## The backlog", "", *_guarded(lines)]
@@ -566,27 +582,51 @@
     if any(each not in places for each in FIRST):
         return ["The ranking is not whole: slopes are missing.", ""]
     top = order[0]
-    here = next(each for each in order if each.row.by is By.WORDS)
+    words = next(each for each in order if each.row.by is By.WORDS)
     groups = next(each for each in order if each.row.by is By.GROUPS)
-    hard = [each for each in found if each.row.by is By.GROUPS and each.ratio > 1]
-    sent = next((each for each in found if each.row.by is By.WORDS and each.row.kind == "messages"
-                 and each.row.role is Role.COURIER), None)
-    lines = [f"**Built first: {FIRST[0]}, and {FIRST[1]}.** "]
-    if top.row.by is By.WORDS:
-        lines[0] += f"The ranking bears it out: words are the worst by {times(top.ratio)}. "
+    hard = [each for each in found if each.row.by is By.GROUPS and each.ratio > 1 and not each.row.supposed]
+    control = max((each for each in found if each.row.by_bound in OF_CONTROL and not each.row.supposed),
+                  key=lambda each: each.ratio)
+    sent = next((each for each in found if each.row.by_bound == BYTES and each.row.by is By.WORDS), None)
+    lines = [f"**Built first: {FIRST[0]}, and {FIRST[1]}.**", ""]
+    if top.row.by in FIRST:
+        lines += [f"The ranking bears it out: {top.row.by} is the worst, {times(top.ratio)} times its bound.", ""]
     else:
-        lines[0] += (f"By the bare ratio {top.row.by} is worse ({times(top.ratio)}; words {times(here.ratio)}, place "
-                     f"{places[By.WORDS]}). ")
-    if sent is not None:
-        lines[0] += (f"Of what control may take, words on endpoints need {times(sent.ratio)} times the bytes of a "
-                     f"courier, "
-                     f"and {times(sent.left or 0)} times when told only to those {A.placed} whom a destination "
-                     "concerns. ")
-    lines[0] += (f"Members are place {places[By.GROUPS]} by ratio ({times(groups.ratio)}), but {len(hard)} rows of "
-                 f"theirs are "
-                 f"above the bound, and one of these stops an installation by itself: beyond {MOST_MEMBERS:,} members "
-                 f"the "
-                 "code refuses more, so nothing else here can be tried at the target before that.")
+        lines += [f"The ranking alone does not say so: by ratio the worst is {top.row.by} ({times(top.ratio)}), words "
+                  f"are "
+                  f"place {places[By.WORDS]} ({times(words.ratio)}), members place {places[By.GROUPS]} "
+                  f"({times(groups.ratio)}). Of what control may take of a courier the worst is "
+                  f"{control.row.what} ({times(control.ratio)} times its {control.row.by_bound}; {control.row.by}). "
+                  f"It is "
+                  "built first all the same, for three reasons:", ""]
+    load = max((each for each in found if each.row.by is By.GROUPS and each.row.by_bound in OF_CONTROL),
+               key=lambda each: each.ratio)
+    slow = max((each for each in hard if each.row.kind == "time"), key=lambda each: each.ratio, default=None)
+    fits = (f"What control may take does not forbid all in one group: at {N:,} the worst is {load.row.kind}, "
+            f"{times(load.ratio)} of its bound. " if load.ratio <= 1 else
+            f"Control may not take that either: {load.row.kind}, {times(load.ratio)} times its bound. ")
+    if slow is not None:
+        fits += (f"Time does: {slow.row.what} it takes {amount(slow.need, slow.row.unit)}, in a group of {T.zone} "
+                 f"{times((slow.left or 0) / slow.ratio)} of that.")
+    lines += [f"1. Members are the gate. Beyond {MOST_MEMBERS:,} of {N:,} the code refuses more, and beyond "
+              f"{seal.SENDERS:,} "
+              "drops what they say; loans, words and counts go to members only. So no other mechanism that couriers "
+              "carry "
+              f"among themselves can be had at the target, or tried there, before that. {len(hard)} rows of members "
+              f"are "
+              "above their bound, and placement helps none of them.",
+              "2. " + (f"Of the bytes of a courier words are the worst: {times(sent.ratio)} times the bound when told "
+                       f"to all, "
+                       f"{times(sent.left or 0)} times when told only to those {A.placed} whom a destination concerns. "
+                       if sent is not None else "")
+              + "Bytes are what couriers share with each other: too many of them hold back the questions and answers "
+                "that "
+              "members, loans and counts live by.",
+              "3. What is ranked above stands on the same answer, whom a destination concerns. A limit is shared, a "
+              "list "
+              "told and a counter kept by those; brokers found by hashing give that answer without a controller. With "
+              "it, "
+              "and events placed, the ratios fall to those of the column 'worst with it'."]
     next_by = [each for each in order if each.row.by not in FIRST]
     lines += ["", "Not built first, though ranked: " + "; ".join(
         f"{each.row.by} ({times(each.ratio)})" for each in next_by if each.ratio > 1) + ". Placement is another "
--- a/benchmarks/capacity_peers.py
+++ b/benchmarks/capacity_peers.py
@@ -18,9 +18,9 @@
 from kestrelspar.lab.model import MS, SECOND, TICK, Faults, Net, Traffic
 from kestrelspar.peers import seal
 from kestrelspar.peers.counts import Counts
-from kestrelspar.peers.judgements import Outcome, rank
+from kestrelspar.peers.judgements import FRESH, Outcome, rank
 from kestrelspar.peers.members import Stand
-from kestrelspar.peers.peer import About, Datagrams, Peer
+from kestrelspar.peers.peer import DEBT, URGENT, About, Datagrams, Peer
 from kestrelspar.peers.seal import Sealer
 from kestrelspar.peers.shares import Shares, Terms, spanned
 from kestrelspar.peers.words import Ack, Datagram, Ping, Said, Seen, Tally
@@ -407,6 +407,10 @@
     return {"processor": (time.process_time() - began) * 1e6 / times}
 
 
+# A word on a failure is told for FRESH; what may be sent then is what a second left over, and all but what is kept for
+# questions. From 95 % of it on, the bound says what is sent.
+WORD_MOST = 0.95 * TARGET.bytes_a_second * ((FRESH + DEBT) / SECOND - URGENT)
+
 NET = (50, 100, 200, 400, 800)
 HELD = (100, 1_000, 4_000, 10_000)
 
@@ -416,18 +420,20 @@
           f"Starts spread over {STARTS // SECOND} s; {JOINED // SECOND} s after the first one, what the one that "
           f"knows least knows; then {REST // SECOND} s at rest: "
           "bytes sent and processor time a second by each; the modelled network, the model's own processor time in it",
-          setting=MODELLED),
+          setting=MODELLED, cut={"all-known": ("all-known", JOINED / SECOND)}),
     Slope("members-churn", "members", NET, {"sent": "bytes", "processor": "ms", "loss-known": "s",
                                             "wrongly-dead": "count"}, churn,
           f"All told of all; one ends for good, and one is started again every {RESTART_EVERY // SECOND} s, for "
           f"{CHURN // SECOND} s: bytes and processor time "
           "a second by each, and the time until 99 % hold the lost one for dead; the modelled network",
-          setting=MODELLED),
+          setting=MODELLED, cut={"loss-known": ("loss-known", CHURN / SECOND)}),
     Slope("members-wave", "members", NET, {"known": "s", "joined": "s", "sent": "bytes", "held-back": "count"}, wave,
           f"All told of all; {TARGET.wave / TARGET.couriers:.0%} of them end at once and start a second later: time "
           f"until {EVERYBODY:.0%} of what the others hold of them is new, time until they know {EVERYBODY:.0%} of all "
           f"({WAVE_FOR // SECOND} s: not within these), bytes a second by each in {WAVE_FOR // SECOND} s, datagrams "
-          f"held back; the modelled network", setting=MODELLED),
+          f"held back; the modelled "
+          f"network", setting=MODELLED,
+          cut={"known": ("known", WAVE_FOR / SECOND), "joined": ("joined", WAVE_FOR / SECOND)}),
     Slope("member-alone", "members", HELD, {"memory": "MB", "processor": "ms", "sent": "bytes"}, alone,
           "One whole courier's modules that know so many members (the bounds on members and senders raised), among "
           "others that are "
@@ -437,7 +443,8 @@
     Slope("word", "members", NET, {"sent": "bytes", "known": "s", "told": "count"}, word,
           f"All told of all; one tells of a failed call: bytes it sends in {WORD_FOR // SECOND} s, time until "
           f"{EVERYBODY:.0%} know, how many know "
-          f"after {WORD_FOR // SECOND} s; the modelled network", setting=MODELLED),
+          f"after {WORD_FOR // SECOND} s; the modelled "
+          f"network", setting=MODELLED, cut={"sent": ("sent", WORD_MOST), "known": ("known", WORD_FOR / SECOND)}),
     Slope("word-alone", "members", HELD, {"told": "count", "sent": "bytes", "last": "s", "processor": "ms"},
           word_alone,
           "One courier that knows so many members tells of a failed call: how many it tells before the word is too old "
@@ -456,7 +463,7 @@
           f"whole ({COUNTS_FOR // SECOND} s: not "
           f"within these), how many it holds whole after {COUNTS_FOR // SECOND} s, bytes that it hears; the modelled "
           f"network",
-          setting=MODELLED),
+          setting=MODELLED, cut={each: ("known", COUNTS_FOR / SECOND) for each in ("known", "whole", "heard")}),
     Slope("counts-held", "couriers", (500, 1_000, 2_000, 4_000), {"memory": "MB", "sums": "ms", "couriers": "count"},
           counts_held, f"One courier that holds {COUNTERS} counters of each of so many: memory, and the sums over all",
           setting=PURE),
--- a/benchmarks/capacity_roles.py
+++ b/benchmarks/capacity_roles.py
@@ -86,10 +86,12 @@
         self.used = {}
 
     def fit(self, name: str, figure: str) -> Fit:
-        """Of all rows of this slope."""
+        """Of all rows of this slope that were not cut off."""
         if (name, figure) not in self._fits:
+            slope = self.slopes.get(name)
             points = [(row.size, row.figures[figure]) for row in self.rows
-                      if row.name == name and figure in row.figures]
+                      if row.name == name and figure in row.figures
+                      and (slope is None or slope.whole(figure, row.figures))]
             if len({size for size, _ in points}) < 2:
                 raise NotMeasured(name)
             self._fits[name, figure] = fit(points)
@@ -267,6 +269,11 @@
     Row(Role.COURIER, "processor time", "messages served", "message-served.cpu x events a second of one courier",
         lambda r: T.events_each * r.at("message-served", "cpu", T.events_each) / 1e3, "ms", 1_000 * (1 - T.core),
         "a core beside control", By.COURIER),
+    Row(Role.COURIER, "processor time", "messages served from that backlog",
+        "backlog-served.cpu at the backlog of one courier x events a second of one courier",
+        lambda r: T.events_each * r.at("backlog-served", "cpu", T.backlog_each) / 1e3, "ms", 1_000 * (1 - T.core),
+        "a core beside control", By.BACKLOG,
+        lambda r: T.events_each * r.at("message-served", "cpu", T.events_each) / 1e3),
     # Client's side
     Row(Role.CLIENT, "state", "couriers that meet one destination", "couriers, over those that it is placed on",
         lambda r: N, "count", A.placed, "assumed", By.PLACED, lambda r: A.placed),
--- a/benchmarks/slope.py
+++ b/benchmarks/slope.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 RUNS = 3
 LEAST_SIZES = 4
@@ -22,3 +22,11 @@
     doc: str  # one sentence: what is measured, in which setting (modelled network, one process ...)
     runs: int = RUNS
     setting: str = SETTINGS[0]  # of these: where the figures come from
+    # Figure -> (deciding figure, value): a run in which that is reached was cut off, or held to a bound. It is shown,
+    # and no fit is made of it: what it would have come to is not known.
+    cut: dict[str, tuple[str, float]] = field(default_factory=dict)
+
+    def whole(self, figure: str, figures: dict[str, float]) -> bool:
+        """Whether this figure of a run is what it came to, not what it was cut off at."""
+        decides, value = self.cut.get(figure, ("", 0.0))
+        return not decides or figures.get(decides, 0.0) < value
