--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -36,7 +36,7 @@
 )
 from benchmarks.slope import Slope
 from benchmarks.target import LOOKED, LOOKED_HOLLOW_GB, LOOKED_MOST, LOOKED_WORD_MINUTES
-from kestrelspar.lab.model import Faults
+from kestrelspar.lab.model import TICK, Faults
 from kestrelspar.peers import counts, judgements, members, seal, shares
 from kestrelspar.peers.shares import spanned
 
@@ -103,7 +103,8 @@
     found, lacking = results(reading)
     parts: list[list[str]] = [_head(rows, slopes), _target(), _slopes(reading, rows, slopes), _looked(reading),
                               _roles(found, lacking), _grouped(reading), _losses(reading), _gone(reading),
-                              _backlog(reading), _bursts(reading), _weighed(reading), _ranking(found), _pairs(reading),
+                              _backlog(reading), _bursts(reading), _weighed(reading),
+                              _ranking(found, len(lacking)), _pairs(reading),
                               _unknown(rows, slopes)]
     return "\n".join(line for part in parts for line in part).rstrip() + "\n"
 
@@ -549,7 +550,7 @@
             "a message for any destination, and then serves it as one that hears nothing does.", ""]
 
 
-def _ranking(found: list[Result]) -> list[str]:
+def _ranking(found: list[Result], lacking: int) -> list[str]:
     order = ranked(found)
     rows = []
     for place, each in enumerate(order, 1):
@@ -573,14 +574,14 @@
                    [(f"{each.row.role}, {each.row.kind}: {each.row.what}", amount(each.need, each.row.unit),
                      f"{amount(each.bound, each.row.unit)}, {each.row.by_bound}", times(each.ratio),
                      _left(each)) for each in control])
+    if lacking:
+        return [*lines, f"The ranking is not whole, so no first is drawn from it: {lacking} rows lack a slope.", ""]
     return lines + _first(order, found)
 
 
 def _first(order: list[Result], found: list[Result]) -> list[str]:
     """Why this one is built first, as far as the ranking bears it out."""
     places = {each.row.by: n for n, each in enumerate(order, 1)}
-    if any(each not in places for each in FIRST):
-        return ["The ranking is not whole: slopes are missing.", ""]
     top = order[0]
     words = next(each for each in order if each.row.by is By.WORDS)
     groups = next(each for each in order if each.row.by is By.GROUPS)
@@ -606,15 +607,17 @@
             f"{times(load.ratio)} of its bound. " if load.ratio <= 1 else
             f"Control may not take that either: {load.row.kind}, {times(load.ratio)} times its bound. ")
     if slow is not None:
-        fits += (f"Time does: {slow.row.what} it takes {amount(slow.need, slow.row.unit)}, in a group of {T.zone} "
-                 f"{times((slow.left or 0) / slow.ratio)} of that.")
+        fits += f"Time does: {slow.row.what} it takes {amount(slow.need, slow.row.unit)}"
+        if slow.left is not None and not callable(slow.row.bound):
+            fits += f", in a group of {T.zone} {amount(slow.left * slow.bound, slow.row.unit)}"
+        fits += "."
     lines += [f"1. Members are the gate. Beyond {MOST_MEMBERS:,} of {N:,} the code refuses more, and beyond "
               f"{seal.SENDERS:,} "
               "drops what they say; loans, words and counts go to members only. So no other mechanism that couriers "
               "carry "
               f"among themselves can be had at the target, or tried there, before that. {len(hard)} rows of members "
               f"are "
-              "above their bound, and placement helps none of them.",
+              f"above their bound, and placement helps none of them. {fits}",
               "2. " + (f"Of the bytes of a courier words are the worst: {times(sent.ratio)} times the bound when told "
                        f"to all, "
                        f"{times(sent.left or 0)} times when told only to those {A.placed} whom a destination concerns. "
@@ -687,9 +690,13 @@
         "settles "
         "after losses: not built, so not measured.",
         "- Limits, sizes and rates of destinations are even here. Real ones are not: a few have most of the events.",
-        "- How events reach couriers today, and what a client knows of them, is not part of this program.",
+        "- How events reach couriers today, and what a client knows of them, is not part of this program: of the "
+        "client's "
+        "side only what placing and knowing would cost is here, and of member systems only what couriers send them.",
         "- No bound for a courier's memory and disk beside control is known; nor a burst, nor a rack; see the "
         "assumptions.",
+        "- Times that the model gives are of its steps: a courier ticks there each "
+        f"{amount(TICK / 1e6, 's')}, and no datagram waits for a busy process.",
         "- Processor time was measured on the machine named above, other work beside it on other cores.",
     ]
     return ["## What is not known", "", *lines, *(f"- Not measured: {each}." for each in missing(rows, slopes)[:5])]
--- a/benchmarks/capacity_roles.py
+++ b/benchmarks/capacity_roles.py
@@ -309,6 +309,11 @@
     # Control machine
     Row(Role.CONTROL, "state", "couriers that one carries when a region's machines are gone",
         "couriers, over the machines left", lambda r: N / REST, "count", MOST_MEMBERS, CODE, By.CONFIG),
+    Row(Role.CONTROL, "messages", "changes told to its couriers, when a region's machines are gone",
+        "changes a second x couriers, over the machines left, x list-change.wire",
+        lambda r: T.changes_a_second * N / REST * r.at("list-change", "wire", T.destinations), "bytes",
+        A.control_mb * 1e6, "assumed, a second", By.CONFIG,
+        lambda r: T.changes_a_second * A.placed / REST * r.at("list-change", "wire", T.destinations)),
     Row(Role.CONTROL, "processor time", "words on what is down, if all go through control machines",
         "failed calls a second of all, over machines, x couriers told x word-alone.processor for one told",
         _brokered, "ms", 1_000 * A.control_core, "assumed", By.WORDS, _brokered,
