--- a/kestrelspar/cli/lab.py
+++ b/kestrelspar/cli/lab.py
@@ -15,7 +15,8 @@
 from kestrelspar.cli.units import DURATION
 from kestrelspar.lab import play as lab
 from kestrelspar.lab import scale, scenario
-from kestrelspar.lab.plan import FAULTS, Asked, plan
+from kestrelspar.lab.modelled import play as modelled_play
+from kestrelspar.lab.plan import FAULTS, Asked, plan, plan_model
 
 
 @click.group("lab")
@@ -73,6 +74,7 @@
 @click.option("--real", type=click.IntRange(0), default=2, show_default=True, help="Processes of the program.")
 @click.option("--hollow", default="50", show_default=True, metavar="N[,N...]",
               help="Hollow couriers; with several numbers one play each, for slopes.")
+@click.option("--model", default="", metavar="N[,N...]", help="And so many on the modelled network, in steps of time.")
 @click.option("--zones", type=click.IntRange(1), default=2, show_default=True, help="Groups, each behind a relay.")
 @click.option("--grouped/--whole", default=False, help="Whether couriers know only those of their own zone.")
 @click.option("--for", "span", type=DURATION, default="30s", show_default=True,
@@ -85,14 +87,17 @@
 @click.option("--compare", is_flag=True, help="No messages, and real couriers without peers beside: hollow over real.")
 @click.option("--json", "out", type=click.Path(dir_okay=False), help="Write the whole report here, as JSON.")
 @click.option("--page", "site", type=click.Path(dir_okay=False), help="Write it here, as a page with charts.")
-def scale_verb(real: int, hollow: str, zones: int, grouped: bool, span: int, seed: int, fault: str, rate: float,
-               period: int, compare: bool, out: str | None, site: str | None) -> None:
+def scale_verb(real: int, hollow: str, model: str, zones: int, grouped: bool, span: int, seed: int, fault: str,
+               rate: float, period: int, compare: bool, out: str | None, site: str | None) -> None:
     """Real couriers beside hollow ones, in zones behind relays, under a fault.
 
     A hollow courier is all that couriers share, over real datagrams, with drawn calls and no messages: hundreds share a
     process. Figures that could not keep up with real time are marked. Under 12 GB and 200 processes, whatever is asked.
     Exit code 1 if a judge found a fault, 2 if what was asked for is too much, 130 or 143 after a signal.
 
+    With --model the same runs on the modelled network, whose time goes as slowly as it has to; the table says which
+    figure is from which.
+
     \b
     Example:
       kestrelspar lab scale --real 4 --hollow 50,100,200 --zones 4 --fault kill --page scale.html
@@ -102,13 +107,21 @@
     report: dict[str, Any] = {"machine": scale.machine(), "plays": plays}
     try:
         every = [Asked(real, int(number), zones, span, seed, fault, grouped, 0.0 if compare else rate, period)
-                 for number in hollow.split(",")]
+                 for number in filter(None, hollow.split(","))]
+        modelled = [Asked(0, int(number), zones, span, seed, fault, grouped, rate, period)
+                    for number in filter(None, model.split(","))]
         for asked in every:  # all of them, before the first is started
             plan(asked, scale.bounds())
+        for asked in modelled:
+            plan_model(asked, scale.bounds())
         for asked in every:
             with tempfile.TemporaryDirectory(prefix="kestrelspar-lab-") as folder, console.status("") as status:
                 plays.append(scale.play(asked, Path(folder), scale.bounds(), lambda text: status.update(text), compare))
             console.print(_line(plays[-1]))
+        for asked in modelled:
+            with console.status("") as status:
+                plays.append(modelled_play(asked, scale.bounds(), lambda text: status.update(text)))
+            console.print(_line(plays[-1]))
     except ValueError as error:
         raise BadConfiguration(error) from error
     except (TimeoutError, RuntimeError) as error:
@@ -117,7 +130,7 @@
         click.echo("ended", err=True)
         raise SystemExit(128 + stopped.args[0]) from None
     if compare:
-        report["factors"] = scale.factors(plays[-1])
+        report["factors"] = scale.factors(plays[0])
     if out:
         Path(out).write_text(ujson.dumps(report, indent=1) + "\n")
     if site:
@@ -139,7 +152,9 @@
 
 
 def _line(play: dict[str, Any]) -> str:
-    return (f"{play['real']} real and {play['hollow']} hollow: known after {play['known_s']} s, {play['processes']} "
+    what = f"{play['real']} real and {play['hollow']} hollow" if play["real"] or play["processes"] > 1 else (
+        f"{play['hollow']} modelled")
+    return (f"{what}: known after {play['known_s']} s, {play['processes']} "
             f"processes, {play['memory_mb']} MB" + (f", {play['fault_name']} over after {play['settled_s']} s"
                                                     if play["fault_name"] != "none" else ""))
 
