--- a/kestrelspar/lab/plan.py
+++ b/kestrelspar/lab/plan.py
@@ -144,7 +144,8 @@
         found.alone = [f"h{n}" for n in range(ALONE)]
     for zone in (f"z{n}" for n in range(asked.zones)):
         hollow = [name for name in found.zone(zone) if name.startswith("h") and name not in found.alone]
-        parts = -(-len(hollow) // A_HOST)
+        # In groups two at least: of a zone that is gone whole nobody is left to know it.
+        parts = min(len(hollow), max(-(-len(hollow) // A_HOST), 2 if asked.grouped else 1))
         found.hosts += [(zone, hollow[n::parts]) for n in range(parts)]
     found.hosts += [(found.zones[name], [name]) for name in found.alone]
     if found.alone:
