lab scale: what cores were taken, the least known, and progress in lines off a terminal

Seen at 10 real and 300 hollow on two cores beside other work: ticks 1.5 s late at 16 % of a core a host. Shares of processes don't show it, as they waited for a core; so the cores that may be used are looked at, with what the machine's host took of them.

--- a/kestrelspar/cli/lab.py
+++ b/kestrelspar/cli/lab.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import tempfile
+import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import click
 import ujson
 from rich.console import Console
+from rich.status import Status
 from rich.table import Table
 
 from kestrelspar.cli.main import BadConfiguration, Fault
@@ -116,11 +119,11 @@
             plan_model(asked, scale.bounds())
         for asked in every:
             with tempfile.TemporaryDirectory(prefix="kestrelspar-lab-") as folder, console.status("") as status:
-                plays.append(scale.play(asked, Path(folder), scale.bounds(), lambda text: status.update(text), compare))
+                plays.append(scale.play(asked, Path(folder), scale.bounds(), progress(console, status), compare))
             console.print(_line(plays[-1]))
         for asked in modelled:
             with console.status("") as status:
-                plays.append(modelled_play(asked, scale.bounds(), lambda text: status.update(text)))
+                plays.append(modelled_play(asked, scale.bounds(), progress(console, status)))
             console.print(_line(plays[-1]))
     except ValueError as error:
         raise BadConfiguration(error) from error
@@ -151,6 +154,19 @@
     console.print("The judges found nothing.")
 
 
+def progress(console: Console, status: Status) -> Callable[[str], None]:
+    """Shows how far it is: in its place on a terminal, else a line now and then."""
+    said: list[Any] = [0.0, ""]
+
+    def show(text: str) -> None:
+        status.update(text)
+        if not console.is_terminal and (time.monotonic() - said[0] > 5 or text.partition(":")[0] != said[1]):
+            said[:] = [time.monotonic(), text.partition(":")[0]]
+            click.echo(text, err=True)
+
+    return show
+
+
 def _line(play: dict[str, Any]) -> str:
     what = f"{play['real']} real and {play['hollow']} hollow" if play["real"] or play["processes"] > 1 else (
         f"{play['hollow']} modelled")
--- a/kestrelspar/lab/scale.py
+++ b/kestrelspar/lab/scale.py
@@ -44,6 +44,7 @@
 SYSTEMS = ("m1", "m2")  # member systems
 REAL_RATE = 2.0  # messages a second at a real courier
 TAKEN = 0.9  # of a core: a process that takes more is saturated
+FULL = 0.95  # of all cores that may be used
 STALLED = 0.01  # of the ticks may come more than a period late
 CONTROLS = 2  # real couriers with peers off, where real and hollow ones are compared
 
@@ -63,6 +64,7 @@
     play: float = 0.0
     sums: Counter[str] = field(default_factory=Counter)
     talk: dict[str, int] = field(default_factory=dict)  # bytes sent by real couriers
+    cores: tuple[int, int, int] = (0, 0, 0)  # of the cores that we may use: jiffies in all, idle, stolen
 
 
 def cpu(pid: int) -> float:
@@ -80,6 +82,19 @@
     return 0
 
 
+def cores() -> tuple[int, int, int]:
+    """Time of the cores that this process may use, in all, idle, and taken by the machine's host: whoever used them."""
+    sums = [0, 0, 0]
+    with suppress(OSError, ValueError, IndexError):
+        ours = {f"cpu{n}" for n in os.sched_getaffinity(0)}
+        for line in Path("/proc/stat").read_text().splitlines():
+            name, *words = line.split()
+            if name in ours:
+                times = [int(word) for word in words[:8]]
+                sums = [sums[0] + sum(times), sums[1] + times[3] + times[4], sums[2] + times[7]]
+    return sums[0], sums[1], sums[2]
+
+
 @contextmanager
 def told_to_end(loop: Loop) -> Iterator[None]:
     """SIGINT and SIGTERM end the turn with ``Stopped``, at its end: nothing is left half done."""
@@ -302,7 +317,7 @@
         return Mark(self.loop.now, {name: taken[name] for name in self.hosts if name in taken},
                     {name: taken[name] for name in self.relays if name in taken}, self.real_cpu(),
                     used.ru_utime + used.ru_stime, self.sums(),
-                    {name: view["bytes_sent"] for name, view in self.views().items()})
+                    {name: view["bytes_sent"] for name, view in self.views().items()}, cores())
 
     def phase(self, begin: Mark) -> dict[str, Any]:
         """The figures since that mark, a second and courier; shares are of a core."""
@@ -343,7 +358,7 @@
             "longest_relay_ms": max((late for name, late in latest.items() if name in self.relays), default=0) / MS,
             "longest_play_ms": longest / MS, "dropped": sums["dropped"],
             "cpu_ms_a_real": round(_mean(real), 3), "cpu_ms_a_real_off": round(_mean(off), 3),
-            "bytes_a_real": round(_mean(talk)),
+            "bytes_a_real": round(_mean(talk)), **_busy(begin.cores, end.cores),
         }
         found["saturated"] = saturated(found)
         return found
@@ -432,7 +447,8 @@
         figures: dict[str, Any] = {"rest": self.phase(rest)}
         views = self.views()
         least = min([len([m for m in view["members"] if m["stand"] in ("alive", "suspect")]) for view in views.values()]
-                    + [self.said[host]["least"] for host in self.hosts], default=0)
+                    + [self.said[host]["least"] for host in self.hosts if self.said[host]["sums"].get("couriers")],
+                    default=0)
         grown = self._grown(alone, empty)
         settled: int | None = None
         if asked.fault != "none":
@@ -539,6 +555,9 @@
     found = [f"{what} took {figures[key]:.2f} of a core" for key, what in
              (("busiest_host", "a process of hollow couriers"), ("busiest_relay", "a process of relays"),
               ("play", "the play itself")) if figures[key] > TAKEN]
+    if figures["cores_busy"] > FULL:
+        found.append(f"all cores were taken: {figures['cores_busy']:.0%} of {figures['cores']}, "
+                     f"{figures['cores_stolen']:.0%} by the host of this machine")
     if figures["mean_tick_late_ms"] * MS > TICK:
         found.append(f"ticks of hollow couriers came {figures['mean_tick_late_ms']:.0f} ms late on average")
     if figures["stalled_ticks"] > STALLED:
@@ -576,6 +595,12 @@
     return {"cores": sorted(os.sched_getaffinity(0)), "python": sys.version.split()[0]}
 
 
+def _busy(begin: tuple[int, int, int], end: tuple[int, int, int]) -> dict[str, float]:
+    whole, idle, stolen = (b - a for a, b in zip(begin, end, strict=True))
+    return {"cores": len(os.sched_getaffinity(0)), "cores_busy": round(1 - idle / max(1, whole), 3),
+            "cores_stolen": round(stolen / max(1, whole), 3)}
+
+
 def _mean(values: list[Any]) -> float:
     return sum(values) / len(values) if values else 0.0
 
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -119,11 +119,12 @@
                                      "the system dropped 3 datagrams at full buffers"]),
     ({"latest_tick_ms": 5_000.0}, []),  # once, and no more: the machine
     ({"mean_tick_late_ms": 51.0}, ["ticks of hollow couriers came 51 ms late on average"]),
+    ({"cores_busy": 0.99}, ["all cores were taken: 99% of 4, 20% by the host of this machine"]),
     ({"stalled_ticks": 0.02}, ["2.0% of the ticks came more than a period late"]),
 ])
 def test_what_could_not_keep_up_is_named(taken: dict[str, float], said: list[str]) -> None:
     calm = {"busiest_host": 0.5, "busiest_relay": 0.5, "play": 0.5, "latest_tick_ms": 90.0, "mean_tick_late_ms": 5.0,
-            "stalled_ticks": 0.001, "dropped": 0}
+            "stalled_ticks": 0.001, "dropped": 0, "cores": 4, "cores_busy": 0.7, "cores_stolen": 0.2}
     assert scale.saturated(calm | taken) == said
 
 
