--- a/tests/lab/test_relays.py
+++ b/tests/lab/test_relays.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import pathlib
 import socket
 
 import pytest
 
 from kestrelspar.lab.relays import Path, Paths, Relay, dropped, way
-from kestrelspar.peers.seal import MARK, MOST, Sealer
-from kestrelspar.peers.words import Ping
+from kestrelspar.lab.rig import Beyond, Rig
+from kestrelspar.peers.seal import HEAD, MARK, MOST, Sealer, decode
+from kestrelspar.peers.words import Ping, Said
 from kestrelspar.runtime.loop import MS, SECOND, Loop
 
 KEY = b"a key of thirty-two bytes length"
@@ -110,3 +112,24 @@
         assert relay.passed == 3 and relay.bytes == len(first) + 2 * len(late)
         assert dropped([relay.socket]) == 0
     relay.close()
+
+
+def test_a_courier_tells_others_the_address_that_it_advertises(tmp_path: pathlib.Path) -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+        other.bind(("127.0.0.1", 0))
+        other.setblocking(False)
+        beyond = Beyond(2, {"n0": ("10.0.0.7", 1_234)}, {"n0": {"x": other.getsockname()}})
+        with Rig(tmp_path, 1, 1, {"m1": 40}, beyond=beyond) as rig:
+            said: list[Said] = []
+
+            def listen() -> None:
+                while True:
+                    rig.loop.readable(other, None)
+                    words = decode(other.recv(MOST + 1)[HEAD:]).words
+                    said.extend(word for word in words if isinstance(word, Said) and word.name == "n0")
+
+            rig.loop.spawn(listen)
+            rig.start("n0")
+            rig.until(lambda: said, 30 * SECOND)
+            assert (said[0].host, said[0].port) == ("10.0.0.7", 1_234)
+            assert "listen={}:{}".format(*rig.nodes["n0"].peers) in rig.logs("n0")  # and is bound where it listens
