--- a/kestrelspar/cli/lab.py
+++ b/kestrelspar/cli/lab.py
@@ -86,12 +86,14 @@
 @click.option("--fault", default="none", show_default=True, metavar="NAME", help=", ".join(FAULTS) + ".")
 @click.option("--rate", type=click.FloatRange(0, 1000), default=1.0, show_default=True,
               help="Messages a second at a hollow courier.")
+@click.option("--failing", type=click.FloatRange(0, 0.5), default=0.001, show_default=True,
+              help="The share of its calls that fail, and as many again are told to wait.")
 @click.option("--period", type=DURATION, default="1s", show_default=True, help="Between questions to members.")
 @click.option("--compare", is_flag=True, help="No messages, and real couriers without peers beside: hollow over real.")
 @click.option("--json", "out", type=click.Path(dir_okay=False), help="Write the whole report here, as JSON.")
 @click.option("--page", "site", type=click.Path(dir_okay=False), help="Write it here, as a page with charts.")
 def scale_verb(real: int, hollow: str, model: str, zones: int, grouped: bool, span: int, seed: int, fault: str,
-               rate: float, period: int, compare: bool, out: str | None, site: str | None) -> None:
+               rate: float, failing: float, period: int, compare: bool, out: str | None, site: str | None) -> None:
     """Real couriers beside hollow ones, in zones behind relays, under a fault.
 
     A hollow courier is all that couriers share, over real datagrams, with drawn calls and no messages: hundreds share a
@@ -109,9 +111,9 @@
     plays: list[dict[str, Any]] = []
     report: dict[str, Any] = {"machine": scale.machine(), "plays": plays}
     try:
-        every = [Asked(real, int(number), zones, span, seed, fault, grouped, 0.0 if compare else rate, period)
+        every = [Asked(real, int(number), zones, span, seed, fault, grouped, 0.0 if compare else rate, failing, period)
                  for number in filter(None, hollow.split(","))]
-        modelled = [Asked(0, int(number), zones, span, seed, fault, grouped, rate, period)
+        modelled = [Asked(0, int(number), zones, span, seed, fault, grouped, rate, failing, period)
                     for number in filter(None, model.split(","))]
         for asked in every:  # all of them, before the first is started
             plan(asked, scale.bounds())
--- a/kestrelspar/lab/modelled.py
+++ b/kestrelspar/lab/modelled.py
@@ -54,7 +54,7 @@
             if len(known) < SEEDS:
                 known[name] = node.address
         limits = dict.fromkeys(SYSTEMS, max(40.0, 2.0 * asked.couriers))
-        told = Told(asked.couriers, asked.seed, asked.rate, limits=limits, spend=SPEND)
+        told = Told(asked.couriers, asked.seed, asked.rate, asked.failing, limits=limits, spend=SPEND)
         self.told_budgets = budgets(told)
         for key, (calls, span) in self.told_budgets.items():
             self.judge.limits[key] = calls, span
@@ -248,7 +248,8 @@
         return {
             "from": "modelled network", "real": 0, "hollow": asked.hollow, "couriers": asked.couriers,
             "zones": asked.zones, "grouped": asked.grouped, "seed": asked.seed, "fault_name": asked.fault,
-            "rate": asked.rate, "period_ms": asked.period // MS, "processes": 1, "memory_mb": round(self.peak / MB, 1),
+            "rate": asked.rate, "failing": asked.failing, "period_ms": asked.period // MS,
+            "processes": 1, "memory_mb": round(self.peak / MB, 1),
             "planned_mb": round(self.planned / MB, 1), "known_s": None if known is None else (known + within) / SECOND,
             "settled_s": None if settled is None else settled / SECOND, **figures, "messages": 0, "served": 0.0,
             "busiest_span": {key: [net.judge.most[key], calls] for key, (calls, _) in net.judge.limits.items()},
--- a/kestrelspar/lab/plan.py
+++ b/kestrelspar/lab/plan.py
@@ -35,6 +35,7 @@
     fault: str = "none"
     grouped: bool = False  # couriers know their own zone's only
     rate: float = 1.0  # messages a second at a hollow courier
+    failing: float = 0.001  # of its calls
     period: int = 1_000_000  # between questions to members
 
     @property
--- a/kestrelspar/lab/scale.py
+++ b/kestrelspar/lab/scale.py
@@ -125,7 +125,8 @@
         self.asked, self.folder, self.bounds, self.progress, self.compare = asked, folder, bounds, progress, compare
         self.plan: Plan = plan(asked, bounds)
         self.limits = {name: max(40, 2 * asked.couriers) for name in SYSTEMS}
-        self.told = Told(asked.couriers, asked.seed, asked.rate, limits={n: float(v) for n, v in self.limits.items()},
+        self.told = Told(asked.couriers, asked.seed, asked.rate, asked.failing,
+                         limits={n: float(v) for n, v in self.limits.items()},
                          spend=SPEND, term=TERM, period=asked.period, key=KEY,
                          span=900 * SECOND + 3 * asked.span)
         self.beyond = Beyond(asked.couriers, period=kinds.span(asked.period), term=kinds.span(TERM))
@@ -467,8 +468,8 @@
         return {
             "from": "real time", "real": asked.real, "hollow": asked.hollow, "couriers": asked.couriers,
             "zones": asked.zones, "grouped": asked.grouped, "seed": asked.seed, "fault_name": asked.fault,
-            "rate": asked.rate, "period_ms": asked.period // MS, "processes": self.most_processes,
-            "memory_mb": round(self.peak / MB, 1),
+            "rate": asked.rate, "failing": asked.failing, "period_ms": asked.period // MS,
+            "processes": self.most_processes, "memory_mb": round(self.peak / MB, 1),
             "planned_mb": round(self.plan.memory / MB, 1), "known_s": _seconds(known), "least_known": least,
             "settled_s": _seconds(settled), **figures, "messages": len(self.rig.sent),
             "served": round(judge.served(self.rig.sent, self._every()), 4), "busiest_span": self.busiest(), **grown,
