--- a/kestrelspar/lab/model.py
+++ b/kestrelspar/lab/model.py
@@ -52,6 +52,7 @@
     lies: Callable[[Node, int], None] | None = None
     group: str = ""
     region: str = ""
+    turn: Callable[[Node, Peer], None] | None = None  # what it does beside, before each tick
     broker: Broker | None = None
 
     def process(self) -> Peer | Broker | None:
@@ -94,7 +95,7 @@
     def __init__(self, couriers: int, seed: int, faults: Faults | None = None, drift: float = 0.0,
                  terms: dict[str, float] | None = None, bytes_a_second: int = 50_000, seeds: int = 3,
                  brokers: dict[str, int] | None = None, place: Callable[[int], tuple[str, str]] | None = None,
-                 step: int = SECOND) -> None:
+                 step: int = SECOND, period: int = SECOND) -> None:
         """``brokers``: how many in each region; ``place``: of a courier by its number, its region and its group.
 
         ``step``: between couriers that try an endpoint which is out.
@@ -104,7 +105,7 @@
         self.faults = faults or Faults()
         self.cut: Callable[[str, str], bool] = lambda sender, to: False  # whether nothing gets through, by direction
         self.judge = Judge()
-        self.terms, self.bytes_a_second, self.step = terms or {}, bytes_a_second, step
+        self.terms, self.bytes_a_second, self.step, self.period = terms or {}, bytes_a_second, step, period
         self.events: list[tuple[int, str, str, dict[str, object]]] = []  # (when, who, event, fields)
         self._order = itertools.count()
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
@@ -143,6 +144,10 @@
             if node.peer is not None:
                 node.peer.shares.budget(key, calls, span)
 
+    def seeds_of(self, name: str) -> dict[str, tuple[str, int]]:
+        """Whom a courier is told of."""
+        return self._seeds
+
     def start(self, name: str, folder: bool = True) -> None:
         """A process of this name begins; without its folder it knows nothing of its former lives."""
         node = self.node(name)
@@ -156,9 +161,9 @@
                                  node.clock(self.now), self.random.randrange(1 << 30))
             self._ticks(node, node.broker)
             return
-        about = About(name, node.address, node.life, [KEY], self._seeds,
+        about = About(name, node.address, node.life, [KEY], self.seeds_of(name),
                       Terms(len(self.nodes), node.number, **self.terms), self.bytes_a_second,  # type: ignore[arg-type]
-                      step=self.step, **({} if name in self.old else  # type: ignore[arg-type]
+                      self.period, step=self.step, **({} if name in self.old else  # type: ignore[arg-type]
                          {"group": node.group, "region": node.region, "brokers": told}))
 
         def keep(lent: dict[str, int]) -> bool:
@@ -203,6 +208,8 @@
             node.lies(node, self.now)
         if isinstance(peer, Peer):
             peer.interest(self.dests.get(node.name, {}).values(), node.clock(self.now))
+            if node.turn is not None:
+                node.turn(node, peer)
         self._out(node, peer.tick(node.clock(self.now)))
         self.at(self.now + TICK + self.random.randrange(5 * MS), lambda: self._ticks(node, peer))
 
--- a/kestrelspar/lab/plan.py
+++ b/kestrelspar/lab/plan.py
@@ -35,6 +35,7 @@
     fault: str = "none"
     grouped: bool = False  # couriers know their own zone's only
     rate: float = 1.0  # messages a second at a hollow courier
+    failing: float = 0.001  # of its calls
     period: int = 1_000_000  # between questions to members
 
     @property
@@ -78,8 +79,8 @@
     return -(-asked.couriers // asked.zones) if asked.grouped else asked.couriers
 
 
-def plan(asked: Asked, bounds: Bounds) -> Plan:
-    """What is to be started; ``TooMuch`` names all that is wrong at once."""
+def _wrong(asked: Asked) -> list[str]:
+    """What will not do at any size."""
     wrong: list[str] = []
     if asked.fault not in FAULTS:
         wrong.append(f"--fault: {asked.fault!r:.40} is unknown (wanted: {', '.join(FAULTS)})")
@@ -93,12 +94,22 @@
         wrong.append(f"--fault {asked.fault}: there is one zone (wanted: --zones 2 or more)")
     if asked.fault in ("stop", "kill") and not asked.hollow:
         wrong.append(f"--fault {asked.fault}: no hollow courier (wanted: --hollow 1 or more)")
+    return wrong
+
+
+def _members(largest: int) -> str:
+    return (f"{largest} couriers know each other, and one holds {MOST_MEMBERS} members (wanted: {MOST_MEMBERS + 1} at "
+            "the most in a group: fewer, or --grouped and more --zones)")
+
+
+def plan(asked: Asked, bounds: Bounds) -> Plan:
+    """What is to be started; ``TooMuch`` names all that is wrong at once."""
+    wrong = _wrong(asked)
     if wrong:
         raise TooMuch("\n".join(wrong))
     largest = _largest(asked)
     if largest - 1 > MOST_MEMBERS:
-        wrong.append(f"{largest} couriers know each other, and one holds {MOST_MEMBERS} members (wanted: "
-                     f"{MOST_MEMBERS + 1} at the most in a group: fewer, or --grouped and more --zones)")
+        wrong.append(_members(largest))
     found = _lay_out(asked)
     members = largest * MEMBER
     parts = {"the play": PARENT, "relays": RELAY * len(found.relays), "real": asked.real * (REAL + members),
@@ -134,7 +145,8 @@
         found.alone = [f"h{n}" for n in range(ALONE)]
     for zone in (f"z{n}" for n in range(asked.zones)):
         hollow = [name for name in found.zone(zone) if name.startswith("h") and name not in found.alone]
-        parts = -(-len(hollow) // A_HOST)
+        # In groups two at least: of a zone that is gone whole nobody is left to know it.
+        parts = min(len(hollow), max(-(-len(hollow) // A_HOST), 2 if asked.grouped else 1))
         found.hosts += [(zone, hollow[n::parts]) for n in range(parts)]
     found.hosts += [(found.zones[name], [name]) for name in found.alone]
     if found.alone:
@@ -145,13 +157,18 @@
     return found
 
 
-def modelled(couriers: int, zones: int, grouped: bool, bounds: Bounds) -> int:
+def plan_model(asked: Asked, bounds: Bounds) -> int:
     """Bytes that a modelled network of so many takes; ``TooMuch`` with the arithmetic where they are too many."""
-    largest = -(-couriers // zones) if grouped else couriers
+    faults = _wrong(asked)
+    if faults:
+        raise TooMuch("\n".join(faults))
+    couriers, largest = asked.couriers, _largest(asked)
     memory = PARENT + couriers * (MODEL + largest * MEMBER)
     if memory > bounds.memory:
         fits = int((((bounds.memory - PARENT) / couriers) - MODEL) / MEMBER)
         raise TooMuch(f"--model: {couriers:,} couriers that know {largest:,} each at {MEMBER:,} bytes take "
                       f"{memory / MB:,.0f} MB (wanted: {bounds.memory / MB:,.0f} MB at the most; "
                       + (f"--grouped with --zones {-(-couriers // fits)} or more)" if fits > 1 else "fewer)"))
+    if largest - 1 > MOST_MEMBERS:
+        raise TooMuch(f"--model: {_members(largest)}")
     return memory
