--- a/kestrelspar/lab/brokered.py
+++ b/kestrelspar/lab/brokered.py
@@ -118,12 +118,16 @@
                     self.faults.append(f"{self.net.now} {name}: {each} held by a liar for more than a wait")
 
 
-def world(seed: int, couriers: int = 30, loss: float = 0.0, brokers: int = 3) -> World:
-    """Three zones in two regions; of six destinations with two endpoints each courier has three, and one budget."""
+def world(seed: int, couriers: int = 30, loss: float = 0.0, brokers: int = 3, old: bool = False) -> World:
+    """Three zones in two regions; of six destinations with two endpoints each courier has three, and one budget.
+
+    ``old``: all couriers know neither groups nor brokers, as yet.
+    """
     net = Net(couriers, seed, Faults(loss=loss), 0.001, bytes_a_second=17_000, seeds=2, step=STEP,
               brokers={"x": brokers, "y": brokers},
               place=lambda n: ("y" if n % 3 == 2 else "x", f"z{n % 3}"))
     made = World(net, {f"e{dest}.{k}": dest for dest in range(6) for k in (0, 1)}, honest=set(net.nodes))
+    net.old = set(net.nodes) if old else set()
     net.budget(KEY, R)
     for name in net.brokers:
         net.start(name)
@@ -173,6 +177,22 @@
         w.net.start(name)
 
 
+def _turned_over(w: World) -> None:
+    """One after the other begins anew, with a group and brokers; the last one before the end."""
+    def turn(name: str) -> None:
+        w.net.old.discard(name)
+        w.net.start(name)
+    for n, name in enumerate(w.net.nodes):
+        w.net.at(w.net.now + n * 8 * SECOND // len(w.net.nodes), lambda name=name: turn(name))  # type: ignore[misc]
+
+
+def _half_old(w: World) -> None:
+    """Half go back to what they were before."""
+    for name in list(w.net.nodes)[::2]:
+        w.net.old.add(name)
+        w.net.start(name)
+
+
 def lies(n: int) -> list[Seen]:
     """What a liar says of everything, all of which is well: number ``n`` of its lies."""
     kind = (Kind.WAIT, Kind.DOWN, Kind.SILENT, Kind.WAIT)[n % 4]
@@ -236,6 +256,8 @@
     "a zone is cut off for 10 s": (_cut(lambda node: node.group == "z0", True), 0.0),
     "regions lose each other": (_cut(lambda node: node.region == "y", True), 0.0),
     "half of the couriers restarted at once": (_half_restarted, 0.0),
+    "turned over one by one": (_turned_over, 0.0),
+    "half go back to knowing no brokers": (_half_old, 0.0),
     "a lying courier": (_lying_courier, 0.0),
     "a lying broker": (_lying_broker, 0.0),
     "30 % lost": (_calm, 0.3),
@@ -245,13 +267,16 @@
 def play(case: str, seed: int, couriers: int = 30, span: int = SPAN) -> World:
     """One play, to its end; what its judges found is in ``faults``."""
     begin, loss = CASES[case]
-    w = world(seed, couriers, loss)
+    w = world(seed, couriers, loss, old=begin is _turned_over)
     pick = w.net.random
     for n, when in enumerate((5 * SECOND, 7 * SECOND)):  # two endpoints go down for a while, of different destinations
         w.down[f"e{2 * n}.{pick.randrange(2)}"] = when, when + pick.randrange(2, 5) * SECOND // 2
     w.net.at(4 * SECOND, lambda: begin(w))
     w.net.run(span)
     w.faults += [f"{at}: {count} calls of {KEY}" for at, key, count in w.net.judge.faults[:3]]
+    accused = {str(fields.get("peer")) for _, _, event, fields in w.net.events if event == "peers-dead"}
+    if accused and begin in (_calm, _turned_over, _half_old, _broker_killed, _broker_empty) and not loss:
+        w.faults.append(f"counted as dead: {sorted(accused)}")
     if w.lied and w.last_held > span - 3 * SECOND:
         w.faults.append(f"a liar still held something at {w.last_held}")
     return w
