--- a/kestrelspar/peers/brokers.py
+++ b/kestrelspar/peers/brokers.py
@@ -67,6 +67,7 @@
 INTEREST = 60 * SECOND  # a destination concerns a courier for so long after it had to do with it
 TOUCH = SECOND  # and is marked so often at most
 MOST_KEYS = 4_096  # destinations that concern one courier; those that it has had least lately to do with go
+AT_ONCE = 512  # of them are placed in one look
 TERM = 15 * SECOND  # of a lease; renewed three times in it
 TRIES, RETRY = 3, 500 * MS  # of a renewal, before it counts as missed
 MISSED = 2  # renewals without an answer, and a broker counts as gone
@@ -167,21 +168,31 @@
             place.refill = place.next  # who has not said who it is can't subscribe
         self._random = random
         self._n = random.randrange(1, 1 << 32)
+        self._used: set[int] = set()  # of what concerns us, since that was marked last
+        self._touched = now
         self._concern: dict[int, int] = {}  # by destination, the oldest first: when it was last dealt with
         self._owners: dict[int, list[str]] = {}  # by destination that concerns us
 
     def interest(self, dests: Iterable[int], now: int) -> None:
-        """These destinations were called lately, or have messages waiting."""
-        for dest in dests:
-            last = self._concern.get(dest)
-            if last is not None:
-                if now - last >= TOUCH:
-                    del self._concern[dest]
-                    self._concern[dest] = now
-                continue
+        """These destinations were called lately, or have messages waiting. Cheap where they are the same as before."""
+        self._used.update(dests)
+        new = self._used - self._concern.keys()
+        if now >= self._touched + TOUCH:
+            for dest in self._used - new:
+                del self._concern[dest]
+                self._concern[dest] = now
+            self._used, self._touched = set(new), now
+        for n, dest in enumerate(new):
+            if n >= AT_ONCE:  # the rest with the next look: this one must be short
+                break
             if len(self._concern) >= MOST_KEYS:
+                oldest, last = next(iter(self._concern.items()))
+                if now - last < 2 * TOUCH:  # all of them are in use: who is there stays, else they would change at once
+                    self.refused += len(new) - n
+                    self._used -= new
+                    break
                 self.refused += 1
-                self._leave(next(iter(self._concern)), now)
+                self._leave(oldest, now)
             self._concern[dest] = now
             self._place(dest, now)
 
--- a/tests/peers/test_broker_model.py
+++ b/tests/peers/test_broker_model.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from kestrelspar.lab.brokered import CASES, heard, play
+from kestrelspar.lab.brokered import CASES, fleet, heard, play, processes
+from kestrelspar.lab.model import SECOND
+from kestrelspar.peers.brokers import REFILL, TERM
+from kestrelspar.peers.judgements import Outcome
 
 
 @pytest.mark.parametrize("case", CASES)
@@ -35,3 +38,36 @@
     few, many = (heard(1, members, group=20) for members in (40, 120))
     assert many.witness < 1.2 * few.witness
     assert heard(1, 120, group=20, old=True).witness > 20 * many.witness, "all to all"
+
+
+def test_with_control_gone_couriers_go_on_and_are_there_again_within_a_term_of_its_return() -> None:
+    net, those = fleet(2, 8, 4, 4)
+    couriers = [node for node in net.nodes.values() if node.peer is not None]
+    for name in net.brokers:
+        net.kill(name)
+    begin = net.now
+    sent = {node.name: node.peer.sent for node in couriers if node.peer is not None}
+    net.run(begin + 300 * SECOND)
+    for node in couriers:
+        assert node.peer is not None and node.peer.brokers is not None
+        assert not node.peer.brokers.ways(1) and (node.peer.sent - sent[node.name]) / 300 < 2_000
+        assert len(node.peer.members.alive()) == 3, "its group is there as before"
+    witness = net.nodes[those[0]]
+    assert witness.peer is not None
+    at = witness.clock(net.now)
+    witness.peer.judgements.saw("e", Outcome.FAILED, at, at)  # goes nowhere but along
+    for name in net.brokers:
+        net.start(name)
+    net.run(net.now + TERM + REFILL + SECOND)
+    for node in couriers:
+        assert node.peer is not None and node.peer.brokers is not None
+        mine = set(net.dests[node.name].values())
+        held = {dest for place in node.peer.brokers.places.values() for dest in place.told}
+        assert held == mine and len(node.peer.brokers.ways(1)) == 2
+    assert sum(each.stand(net.now)["subscribers"] for each in processes(net)) == 3 * len(couriers)
+    at = witness.clock(net.now)
+    witness.peer.judgements.saw("e", Outcome.FAILED, at, at)
+    net.run(net.now + SECOND // 5)
+    for name in those[1:]:
+        peer = net.nodes[name].peer
+        assert peer is not None and {voice.witness for voice in peer.judgements._heard["e"]} == {witness.name}
