--- a/tests/peers/test_broker_model.py
+++ b/tests/peers/test_broker_model.py
@@ -71,3 +71,29 @@
     for name in those[1:]:
         peer = net.nodes[name].peer
         assert peer is not None and {voice.witness for voice in peer.judgements._heard["e"]} == {witness.name}
+
+
+def test_a_zone_that_is_gone_at_once_and_back_at_once_accuses_nobody_and_costs_the_others_nothing() -> None:
+    net, those = fleet(3, 60, 20, 9)
+    zone = [name for name, node in net.nodes.items() if node.group == "z0"]
+    left = [name for name in net.nodes if name not in zone]
+    for name in zone:
+        net.kill(name)
+    net.run(net.now + 20 * SECOND)
+    assert not [event for event in net.events if event[2] in ("peers-suspect", "peers-dead")]
+    assert sum(each.stand(net.now)["subscribers"] for each in processes(net)) == 3 * len(left), "their leases lapsed"
+    for name in zone:
+        net.start(name)
+    net.run(net.now + 12 * SECOND)
+    for name in zone:
+        peer = net.nodes[name].peer
+        assert peer is not None and peer.brokers is not None and len(peer.members.alive()) == len(zone) - 1
+        assert all(place.answered is not None for place in peer.brokers.places.values())
+    witness = net.nodes[next(name for name in those if name in left)]
+    assert witness.peer is not None
+    at = witness.clock(net.now)
+    witness.peer.judgements.saw("e", Outcome.FAILED, at, at)
+    net.run(net.now + SECOND // 5)
+    for name in those:
+        peer = net.nodes[name].peer
+        assert peer is not None and (name == witness.name or "e" in peer.judgements._heard)
--- a/tests/peers/test_judgements.py
+++ b/tests/peers/test_judgements.py
@@ -218,6 +218,15 @@
     assert not j.cold(now + 2 * SECOND, ramp).get("b1", 0), "it was never out"
 
 
+def test_in_a_group_of_any_size_nobody_waits_longer_than_all_ranks_for_those_before_it() -> None:
+    others = [f"m{n}" for n in range(500)]  # of whom most may have nothing to do with the endpoint
+    for me in ("zz", "yy", "xx"):
+        j = judge(me)
+        play(j, [(0, "n1", DOWN, "a1", 0), (0, "n2", DOWN, "a1", 0)])
+        held = j.holds(T, others)["a1"]
+        assert not held.one and held.until == T + RANKS * STEP and j.holds(held.until, others)["a1"].one
+
+
 # By brokers: x/b0 and x/b1 are of the own region, y/b0 and y/b1 of another. A voice: witness, by, origin.
 
 ORIGINS = ("y/b0", "y/b1")
@@ -289,8 +298,10 @@
         hear(j, T + n, (f"n{n}", "x/b0", "y/b0"), BACK)
     known = j._heard["a1"]
     assert {Voice("n1", "x/b1"), Voice("n1")} <= known.keys() and len(known) == 2 + WITNESSES
+    for n in range(100):
+        hear(j, T + 100 + n, (f"n{n % 38}", "x/b0", "y/b1"), BACK, n=n)
     by_origin = [voice.origin for voice in known if voice.by == "x/b0"]
-    assert abs(by_origin.count("") - by_origin.count("y/b0")) <= 1, "nor does one origin push out what came here"
+    assert sorted(by_origin.count(origin) for origin in ("", *ORIGINS)) == [4, 4, 4], "nor does one origin another"
 
 
 def test_only_what_has_a_place_and_comes_from_where_the_settings_say_is_heard() -> None:
@@ -339,6 +350,15 @@
     assert not j.unheard("x/b0")
 
 
+def test_honest_words_that_a_broker_passes_on_do_not_pay_for_its_lies() -> None:
+    j, now, calls = brokered(), T, 0
+    while not j.unheard("x/b0") and calls < 100:
+        calls += 1
+        hear(j, now, ("n38", "x/b0"), BACK, n=calls)  # of an endpoint that is well; it costs nobody anything to say so
+        now = contradict(j, now, calls, (f"n{calls % 38}", "x/b0"))
+    assert calls == WAY_WRONG
+
+
 def test_one_in_another_region_silences_itself_and_a_broker_that_names_many_origins_is_silent_too() -> None:
     j, now = brokered(), T
     for n in range(1, 40):
