--- a/tests/peers/test_brokers.py
+++ b/tests/peers/test_brokers.py
@@ -336,7 +336,18 @@
     for n in range(4 * 60 * 20):  # a destination that is called once in ten seconds, between two marks of the others
         s.interest([*rest, seldom] if n % 200 == 7 else rest, T + n * 50 * MS)
         s.tick(T + n * 50 * MS)
-    assert seldom in s._concern
+        assert n < 7 or seldom in s._concern
+
+
+def test_a_courier_says_who_it_is_before_what_concerns_it() -> None:
+    for seed in range(20):
+        s, known = subscriber(seed), set()
+        for n in range(40):
+            s.interest(range(30), T + n * 50 * MS)
+            for name, words in s.tick(T + n * 50 * MS):
+                assert isinstance(words[0], Renew) or name in known
+                known.add(name)
+        assert len(known) == 3
 
 
 def test_a_whole_region_does_not_answer_one_brokers_restart_in_one_instant() -> None:
@@ -600,6 +611,7 @@
         node.peer.judgements.saw("a", Outcome.FAILED, node.clock(net.now), node.clock(net.now))
     net.run(22 * SECOND)
     assert Seen in seen_by_old and not seen_by_old & set(new)
+    assert not any(node.broker.refused for node in net.brokers.values() if node.broker is not None), "nor is a broker"
     for node in net.nodes.values():
         assert node.peer is not None and not node.peer.sealer.dropped
         assert "a" in node.peer.judgements.holds(node.clock(net.now), node.peer.members.alive()), node.name
--- a/tests/peers/test_judgements.py
+++ b/tests/peers/test_judgements.py
@@ -384,7 +384,7 @@
     j = brokered()
     for n in range(MOST_MARKS + 500):
         j.marks[Voice(f"w{n}", "x/b0")] = 1.0
-    j.marks[Voice("", "x/b0")] = 5.0
+    j.marks[Voice("", "x/b0")] = 0.5
     j.marks[Voice("liar", "x/b1")] = 6.0
     j.members(["n1"])
     assert len(j.marks) <= MOST_MARKS + 1 and {Voice("", "x/b0"), Voice("liar", "x/b1")} <= j.marks.keys()
--- a/tests/peers/test_peer.py
+++ b/tests/peers/test_peer.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from kestrelspar.lab.model import SECOND, Net
+from kestrelspar.lab.model import KEY, SECOND, Net
 from kestrelspar.peers.judgements import Kind, Outcome, Voice
-from kestrelspar.peers.peer import Peer
-from kestrelspar.peers.words import Said, Seen, Stand
+from kestrelspar.peers.peer import About, Peer
+from kestrelspar.peers.seal import Sealer
+from kestrelspar.peers.shares import Terms
+from kestrelspar.peers.words import Ping, Relayed, Said, Seen, Stand
 
 
 def peers(net: Net) -> list[Peer]:
@@ -47,3 +49,18 @@
     hears.hear(says.sealer.seal("n0", [*words]), now)
     hears.hear(says.sealer.seal("n0", [Said("n9", "10.0.0.7", 5, 3, 1, 0, Stand.ALIVE), *words]), now)
     assert list(hears.judgements._heard["x"]) == [Voice("n1")]
+
+
+def test_only_brokers_of_the_own_region_are_heard_and_no_broker_is_a_member_or_a_witness() -> None:
+    brokers = {name: ("10.0.0.2", n) for n, name in enumerate(("x/b0", "x/b1", "y/b0"), 1)}
+    hears = Peer(About("n0", ("10.0.0.1", 1), 1, [KEY], {}, Terms(4, 0), region="x", brokers=brokers), 0, 1)
+    hears.judgements.routes({"x": 1})
+    word = Seen("x", Kind.DOWN, 0, 0, 1)
+    for n, name in enumerate(("y/b0", "x/b0", "x/b1")):
+        said = [Said(name, "10.0.0.2", 1, 2, 1, 0, Stand.ALIVE), word, Relayed("n1", 1, 1, word), Ping(n)]
+        assert hears.hear(Sealer(name, 1, [KEY]).seal("n0", [*said]), 0) == []
+        assert not hears.members.members
+        assert set(hears.judgements._heard.get("x", {})) == {Voice("n1", each) for each in ("x/b0", "x/b1")[:n]}
+    assert hears.brokers is not None and set(hears.brokers.places) == {"x/b0", "x/b1"}
+    nowhere = About("n0", ("10.0.0.1", 1), 1, [KEY], {}, Terms(4, 0), region="z", brokers=brokers)
+    assert Peer(nowhere, 0, 1).brokers is None, "a region without any: everything as before"
