--- a/benchmarks/brokers.py
+++ b/benchmarks/brokers.py
@@ -22,11 +22,11 @@
 LOOK = SECOND // 4
 
 
-def plays(seeds: range, couriers: int) -> int:
+def plays(seeds: range, couriers: int, cases: list[str]) -> int:
     """Every fault over these seeds; the number of plays in which a judge found something."""
     bad = 0
     print(f"{'fault':<40} plays  bad  served  failed  none free  looks with something left alone")
-    for case in CASES:
+    for case in [each for each in CASES if not cases or any(part in each for part in cases)]:
         seen: Counter[str] = Counter()
         faults = 0
         for seed in seeds:
@@ -148,6 +148,7 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--plays", type=int, default=0)
     parser.add_argument("--first", type=int, default=1, help="seed of the first play")
+    parser.add_argument("--cases", nargs="*", default=[], help="of --plays, those with such words in their names")
     parser.add_argument("--couriers", type=int, default=12)
     parser.add_argument("--zones", type=int, nargs="*", default=[])
     parser.add_argument("--group", type=int, default=50)
@@ -158,7 +159,8 @@
         words(given.words)
     for members in given.zones:
         zone(members, given.group, given.whole_only)
-    if given.plays and plays(range(given.first, given.first + given.plays), given.couriers):
+    if given.plays and plays(range(given.first, given.first + given.plays), given.couriers,
+                             given.cases):
         raise SystemExit(1)
 
 
--- a/kestrelspar/peers/judgements.py
+++ b/kestrelspar/peers/judgements.py
@@ -57,6 +57,7 @@
 LEAST_WAIT = 50 * MS  # a shorter told wait is over before it is heard
 WRONG, RIGHT, MOST_WRONG = 3.0, 0.5, 6.0  # marks from which on a voice is lost; taken off by a word borne out; at most
 WAY_WRONG, BROKER_WRONG = 12.0, 24.0  # marks of a way (a broker, and the one it had it from), and of a broker in all
+RIGHTLY, UNHEARD, WRONGLY = range(3)  # what a call tells of a way, the gravest last
 MOST_MARKS = 2_048  # of voices that came by brokers
 RIVALS = 16  # couriers that claim our place, and are told of
 NEAR = 0.1  # limits that differ by less are the same
@@ -334,7 +335,7 @@
 
     def _weigh(self, endpoint: str, sent: int, now: int, served: bool) -> None:
         """An own call bears out what was told before it was sent, or contradicts it: each word once."""
-        ways: dict[Voice, tuple[bool, Kind]] = {}
+        ways: dict[Voice, tuple[int, Kind]] = {}
         for voice, witness in self._heard.get(endpoint, {}).items():
             claim = witness.health
             if claim is None or claim.marked or sent <= claim.at or now - claim.at > FRESH \
@@ -346,13 +347,16 @@
             silent = level in self.voiceless
             self._mark(level, most, wrong, endpoint, claim.kind)
             for level, _ in above:
-                if wrong and silent:  # it is not heard already: its broker only passed it on
-                    break
-                silent = level in self.voiceless
-                if wrong or level not in ways:
-                    ways[level] = wrong, claim.kind
-        for level, (wrong, kind) in ways.items():  # one call tells one thing of a way, however many came by it
-            self._mark(level, BROKER_WRONG if level.origin == ANY else WAY_WRONG, wrong, endpoint, kind)
+                # What is not heard already counts for nothing: its broker only passed it on. But nor does it earn marks
+                # off for what else came that way: a lie is a lie.
+                found = RIGHTLY if not wrong else UNHEARD if silent else WRONGLY
+                silent = silent or level in self.voiceless
+                if level not in ways or found > ways[level][0]:
+                    ways[level] = found, claim.kind
+        for level, (found, kind) in ways.items():  # one call tells one thing of a way, however many came by it
+            if found != UNHEARD:
+                most = BROKER_WRONG if level.origin == ANY else WAY_WRONG
+                self._mark(level, most, found == WRONGLY, endpoint, kind)
 
     def _mark(self, level: Voice, most: float, wrong: bool, endpoint: str, kind: Kind) -> None:
         marks = self.marks.get(level, 0.0)
--- a/tests/peers/test_judgements.py
+++ b/tests/peers/test_judgements.py
@@ -359,6 +359,14 @@
     assert calls == WAY_WRONG
 
 
+def test_lies_that_are_not_heard_any_more_earn_nothing_for_what_else_comes_that_way() -> None:
+    j, now = brokered(), T
+    for n in range(1, 60):  # the way from y/b0 is silent after twelve; beside each lie there is an honest word
+        hear(j, now, ("n38", "x/b0"), BACK, n=n)
+        now = contradict(j, now, n, (f"n{n % 38}", "x/b0", "y/b0"))
+    assert j.marks[Voice("", "x/b0", ANY)] == WAY_WRONG and Voice("", "x/b0", "y/b0") in j.voiceless
+
+
 def test_one_in_another_region_silences_itself_and_a_broker_that_names_many_origins_is_silent_too() -> None:
     j, now = brokered(), T
     for n in range(1, 40):
