--- a/kestrelspar/peers/words.py
+++ b/kestrelspar/peers/words.py
@@ -10,6 +10,8 @@
 Name = Annotated[str, Meta(min_length=1, max_length=60)]
 Key = Annotated[str, Meta(min_length=1, max_length=200)]  # of a budget
 Count = Annotated[int, Meta(ge=0, le=1 << 53)]
+_BYTE = "(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])"
+Host = Annotated[str, Meta(max_length=15, pattern=rf"\A(localhost|{_BYTE}(\.{_BYTE}){{3}})\Z")]  # never looked up
 Group = Annotated[str, Meta(max_length=60)]
 Dest = Annotated[int, Meta(ge=0, le=1 << 40)]  # a destination's number, the same at all couriers
 Digest = Annotated[int, Meta(ge=0, lt=1 << 62)]
@@ -147,7 +149,7 @@
     """
 
     n: Count
-    host: Annotated[str, Meta(max_length=15)]
+    host: Host
     port: Annotated[int, Meta(ge=1, le=65535)]
     number: Count
     known: Count
--- a/tests/peers/test_brokers.py
+++ b/tests/peers/test_brokers.py
@@ -533,6 +533,14 @@
     assert relayed(t.tick()) == [("n2", "n1")], "what follows is taken all the same"
 
 
+@pytest.mark.parametrize("host", ["", "example.org", "1.2.3", "1.2.3.256", "10.0.0.1\n", "localhost.x"])
+def test_an_address_that_would_have_to_be_looked_up_is_not_taken(host: str) -> None:
+    t = Table()
+    assert t.say("n1", Renew(1, host, 5, 1, 0, 1, 0, 0)) == [] and not t.broker._subscribed
+    assert t.broker.sealer.dropped == {"unreadable": 1}
+    assert t.say("n1", Renew(1, "localhost", 5, 1, 0, 1, 0, 0)) == [("n1", Lease(1, True))]
+
+
 def test_no_cut_is_taken() -> None:
     t = Table()
     whole = t.sealer("n1").seal(t.name, [Renew(1, "10.0.0.1", 5, 1, 0, 1, 0, 0)])
