--- a/kestrelspar/lab/zones.py
+++ b/kestrelspar/lab/zones.py
@@ -7,17 +7,34 @@
 
 import socket
 import sys
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
 from kestrelspar.lab.relays import Path as Faults
 from kestrelspar.lab.relays import Paths, Relay
 from kestrelspar.lab.rig import KEY, Node, Rig, Wire
-from kestrelspar.runtime.loop import SECOND
+from kestrelspar.peers.seal import HEAD, decode
+from kestrelspar.peers.words import Relayed
+from kestrelspar.runtime.loop import SECOND, Loop
 
 STARTED_WITHIN = 20 * SECOND
 
 
+class Seeing(Relay):
+    """A relay that notes which words of brokers it has put through to its couriers."""
+
+    def __init__(self, loop: Loop, group: str, paths: Paths) -> None:
+        super().__init__(loop, group, paths)
+        self.relayed: list[tuple[int, str, str]] = []  # when, the witness, the endpoint
+
+    def _put(self, data: bytes, place: tuple[str, int]) -> None:
+        super()._put(data, place)
+        with suppress(ValueError):  # forged on purpose
+            self.relayed += [(self.loop.now, word.witness, word.seen.endpoint)
+                             for word in decode(data[HEAD:]).words if isinstance(word, Relayed)]
+
+
 class Zoned(Rig):
     """Couriers and brokers of several zones. All that goes to one passes a relay, whose address it advertises."""
 
@@ -34,7 +51,7 @@
         self.paths = Paths(seed)
         self.paths.groups = {name: zone for name, (_, zone) in zones.items()} | {name: name for name in brokers}
         self.places = {zone: zone for _, zone in zones.values()} | brokers  # the zone of each relay
-        self.relays = {name: Relay(self.loop, name, self.paths) for name in self.places}
+        self.relays = {name: Seeing(self.loop, name, self.paths) for name in self.places}
         for name, node in (self.nodes | self.brokers).items():
             self.relays[self.paths.groups[name]].places[name] = node.peers
 
@@ -109,3 +126,9 @@
     def heal(self) -> None:
         """No fault any more."""
         self.paths.heal()
+
+    def across(self, member: str, since: int) -> set[str]:
+        """Zones whose couriers brokers have told since then what somebody of another zone saw of it."""
+        return {zone for zone in {zone for _, zone in self.zones.values()}
+                for at, witness, endpoint in self.relays[zone].relayed
+                if at > since and endpoint == member and self.zones[witness][1] != zone}
--- a/tests/lab/broker_plays.py
+++ b/tests/lab/broker_plays.py
@@ -53,8 +53,8 @@
         names = {call.courier for call in rig.members[member].calls if call.at > since}
         return {zone: len({name for name in names if rig.zones[name][1] == zone}) for _, zone in rig.zones.values()}
 
-    def outage(self, when: str) -> None:
-        """One of m1 and m2 is out, and held by word in each group.
+    def outage(self, when: str, across: bool = True) -> None:
+        """One of m1 and m2 is out, and held by word in each group; and brokers told each what others saw.
 
         Couriers stay with a way that serves them, each with its own: so the other is out first for a moment, until two
         of each group call the one that is to go out, and can witness it.
@@ -68,16 +68,19 @@
         words = f"event=peers-hold endpoint={out} "
         names = [name for name, node in rig.nodes.items() if node.process is not None]
         before = {name: rig.logs(name).count(words) for name in names}
-        rig.members[out].shut = True
+        zones = {zone for _, zone in rig.zones.values()}
+        rig.members[out].shut, since = True, rig.loop.now
         rig.run(OUT)
-        late, until = {"?"}, rig.loop.now + WITHIN
-        while self.on and late and rig.loop.now < until:
-            held = {rig.zones[name][1] for name in names if rig.logs(name).count(words) > before[name]}
-            late = {zone for _, zone in rig.zones.values()} - held
-            if late:
-                rig.run(200 * MS)
+        late, untold, until = zones, zones if across else set(), rig.loop.now + WITHIN
+        while self.on and rig.loop.now < until:
+            late = zones - {rig.zones[name][1] for name in names if rig.logs(name).count(words) > before[name]}
+            untold = zones - rig.across(out, since) if across else set()
+            if not late and not untold:
+                break
+            rig.run(200 * MS)
         rig.members[out].up()
         self.need(not late, f"{when}: {out} was out, and nobody in {sorted(late)} held it by word")
+        self.need(not untold, f"{when}: {out} was out, and brokers told {sorted(untold)} nothing of other zones")
         rig.run(2 * SECOND)
 
     def broker(self, name: str) -> dict[str, Any]:
@@ -119,12 +122,12 @@
     rig = stage.rig
     rig.plain = set(rig.nodes)
     begin(stage)
-    stage.outage("all are old")
+    stage.outage("all are old", across=False)
     for number, name in enumerate(rig.nodes):
         if number == 3:
             rig.ready()
             rig.run(2 * SECOND)
-            stage.outage("z1 is new, z2 old")
+            stage.outage("z1 is new, z2 old", across=False)
         rig.end(name, signal.SIGTERM)
         if stage.on:
             rig.plain.discard(name)
@@ -136,8 +139,8 @@
 
 
 def brokers_go(stage: Stage) -> None:
-    """One stopped for longer than its term, the other killed meanwhile: none is there; it is started empty; then the
-    one that woke is alone.
+    """One stopped for longer than its term, the other killed meanwhile and started empty at once, then killed for good:
+    none is there; the one that wakes is alone.
     """
     rig = stage.rig
     begin(stage)
@@ -145,7 +148,10 @@
     woken = rig.loop.now + stopped
     if stage.on:
         rig.freeze("eu/b2", stopped)
-    stage.outage("one stopped")
+    stage.kill("eu/b1")
+    stage.back("eu/b1", folder=False)  # sooner than a courier misses it
+    stage.caught_up("eu/b1")
+    stage.outage("one stopped, one started empty")
     stage.kill("eu/b1")
     on, stage.on, since = stage.on, False, rig.loop.now
     stage.outage("none is there")
@@ -154,12 +160,8 @@
         if not any(call.taken and call.courier == name and call.at > since
                    for member in rig.members.values() for call in member.calls):
             stage.missing.append(f"{name} served nothing while no broker was there")
-    stage.back("eu/b1", folder=False)
-    stage.caught_up("eu/b1")
-    stage.outage("one started empty, one still stopped")
     rig.run(max(0, woken - rig.loop.now))
     stage.caught_up("eu/b2")
-    stage.kill("eu/b1")
     stage.outage("one killed, one that was stopped")
 
 
@@ -177,7 +179,7 @@
         rig.run(3 * SECOND)
         rig.heal()
     rig.apart("z1")
-    stage.outage("z1 cut off")
+    stage.outage("z1 cut off", across=False)
     rig.run(3 * SECOND)
     rig.heal()
     for name in ("n0", "n1", "n5"):
@@ -202,7 +204,7 @@
     stage.need(told and max(each["witnesses"] for each in told["endpoints"].values()) > 2,
                f"n4 has heard witnesses of its own region only: {told.get('endpoints')}")
     rig.apart("z1")
-    stage.outage("regions apart")
+    stage.outage("regions apart", across=False)
     rig.run(4 * SECOND)
     rig.heal()
     stage.outage("together again")
