--- a/tests/lab/broker_plays.py
+++ b/tests/lab/broker_plays.py
@@ -265,8 +265,10 @@
         most = {name: judge.most_in_a_second(member.calls, span) for name, member in rig.members.items()}
         there = {node.name: node for node in (*rig.nodes.values(), *rig.brokers.values()) if node.process is not None}
         status = {name: ask(str(node.folder / "state")) for name, node in there.items()}
-        shown = subprocess.run([sys.executable, "-m", "kestrelspar", "peers", "status", "--state",
-                                str(rig.nodes["n0"].folder / "state")], capture_output=True, text=True, check=False)
+        asking = subprocess.Popen([sys.executable, "-m", "kestrelspar", "peers", "status", "--state",
+                                   str(rig.nodes["n0"].folder / "state")], stdout=subprocess.PIPE, text=True)
+        rig.until(lambda: asking.poll() is not None, WITHIN)  # turning: relays are in this process
+        shown, _ = asking.communicate()
         rig.end_all()
         # While a courier starts its clients hear nothing, for as long as the start takes: no matter of brokers.
         answered = {trace: sent for trace, sent in rig.sent.items() if sent.answer}
@@ -282,7 +284,7 @@
             "brokers": {name: told for name, told in status.items() if name in rig.brokers},
             "couriers": {name: {key: told[key] for key in ("group", "region", "brokers")}
                          for name, told in status.items() if name in rig.nodes},
-            "shown": shown.stdout + shown.stderr, "zones": zones,
+            "shown": shown, "zones": zones,
         }
 
 
