--- a/kestrelspar/cli/lab.py
+++ b/kestrelspar/cli/lab.py
@@ -173,8 +173,8 @@
     what = f"{play['real']} real and {play['hollow']} hollow" if play["real"] or play["processes"] > 1 else (
         f"{play['hollow']} modelled")
     return (f"{what}: known after {play['known_s']} s, {play['processes']} "
-            f"processes, {play['memory_mb']} MB" + (f", {play['fault_name']} over after {play['settled_s']} s"
-                                                    if play["fault_name"] != "none" else ""))
+            f"processes, {play['memory_mb']} MB" + (f", {play['fault_name']} of {play['hit']} over after "
+                                                    f"{play['settled_s']} s" if play["fault_name"] != "none" else ""))
 
 
 def _slopes(plays: list[dict[str, Any]]) -> Table:
--- a/kestrelspar/lab/modelled.py
+++ b/kestrelspar/lab/modelled.py
@@ -128,7 +128,7 @@
         self.empty = _rss()
         self.net = Zoned(asked)
         self.series: list[dict[str, Any]] = []
-        self.peak = 0
+        self.peak = self.hit = 0
         self.numbers: list[int] = []  # signals
 
     def second(self, span: int = SECOND) -> None:
@@ -146,7 +146,7 @@
                             "ghosts": _part(sums, "ghosts", "ghost_pairs"), "sent": sums["sent"],
                             "passed": self.net.sent_datagrams, "hollow_cpu": round(_cpu(), 3), "relay_cpu": 0.0,
                             "real_cpu": 0.0, "memory_mb": round(self.peak / MB, 1), "late_ms": 0})
-        self.progress(f"modelled {self.net.now // SECOND} s: {self.series[-1]['missing']:.1%} of members not known, "
+        self.progress(f"modelled: {self.net.now // SECOND} s, {self.series[-1]['missing']:.1%} of members not known, "
                       f"{self.series[-1]['ghosts']:.1%} of those who are gone thought alive")
 
     def settled(self) -> bool:
@@ -187,6 +187,8 @@
         net, asked = self.net, self.asked
         last = f"z{asked.zones - 1}"
         inside = [name for name, zone in net.zones.items() if zone == last]
+        self.hit = {"cut": len(inside), "one-way": len(inside), "stop": len(inside[:A_HOST]),
+                    "restarts": asked.couriers // 2}.get(asked.fault, asked.couriers)
         if asked.fault == "loss":
             net.faults.loss = LOSS
         elif asked.fault == "delay":
@@ -206,6 +208,7 @@
             for name in names:
                 net.kill(name)
             net.gone |= set(names)
+            self.hit = len(names)
         elif asked.fault == "restarts":
             names = Random(asked.seed).sample(list(net.nodes), len(net.nodes) // 2)
             for place, name in enumerate(names):
@@ -248,7 +251,7 @@
         return {
             "from": "modelled network", "real": 0, "hollow": asked.hollow, "couriers": asked.couriers,
             "zones": asked.zones, "grouped": asked.grouped, "seed": asked.seed, "fault_name": asked.fault,
-            "rate": asked.rate, "failing": asked.failing, "period_ms": asked.period // MS,
+            "hit": self.hit, "rate": asked.rate, "failing": asked.failing, "period_ms": asked.period // MS,
             "processes": 1, "memory_mb": round(self.peak / MB, 1),
             "planned_mb": round(self.planned / MB, 1), "known_s": None if known is None else (known + within) / SECOND,
             "settled_s": None if settled is None else settled / SECOND, **figures, "messages": 0, "served": 0.0,
--- a/kestrelspar/lab/scale.py
+++ b/kestrelspar/lab/scale.py
@@ -143,6 +143,7 @@
         self.gone: set[str] = set()  # couriers
         self.latest: dict[str, int] = {}  # by child, since the last mark: how late it was at the most
         self.ticks: Counter[str] = Counter()  # of hollow couriers, since the last mark
+        self.hit = 0  # couriers that the fault is of; all, where it is of all
         self.series: list[dict[str, Any]] = []
         self.peak = self.most_processes = 0
         self._over = ""
@@ -369,11 +370,12 @@
     def inject(self) -> int:
         """The fault of the play; how long until it is over by itself."""
         asked = self.asked
-        pick = Random(asked.seed)
+        self.hit, pick = 0, Random(asked.seed)
         last = f"z{asked.zones - 1}"
         zones = [f"z{n}" for n in range(asked.zones)]
         others = [zone for zone in zones if zone != last]
         if asked.fault in ("loss", "delay"):
+            self.hit = asked.couriers
             way = Way(loss=LOSS) if asked.fault == "loss" else Way(delay=DELAY)
             self._paths([path_fault(a, b, way) for a in zones for b in zones])
         elif asked.fault in ("cut", "one-way"):
@@ -382,10 +384,13 @@
             self._paths(into if asked.fault == "one-way" else into + out)
             span = min(CUT_FOR, asked.span)
             self.loop.at(self.loop.now + span, lambda: self._paths([]))
+            self.hit = len(self.plan.zone(last))
             return span
         elif asked.fault in ("stop", "kill"):
-            host = max(self.hosts, key=lambda name: (name.endswith(last), name))
-            names = next(names for (_, names), name in zip(self.plan.hosts, self.hosts, strict=True) if name == host)
+            # The last zone's largest: not one of those with a single courier.
+            host, names = max(((name, names) for (zone, names), name in zip(self.plan.hosts, self.hosts, strict=True)
+                               if zone == last), key=lambda each: len(each[1]))
+            self.hit = len(names)
             child = self.hosts[host]
             if asked.fault == "stop":
                 child.process.send_signal(signal.SIGSTOP)
@@ -397,7 +402,9 @@
             self.truth()
         elif asked.fault == "restarts":
             for (_, names), host_of in zip(self.plan.hosts, self.hosts.values(), strict=True):
-                host_of.tell({"restart": pick.sample(names, len(names) // 2), "gap": GAP, "within": WAVE})
+                drawn = pick.sample(names, len(names) // 2)
+                host_of.tell({"restart": drawn, "gap": GAP, "within": WAVE})
+                self.hit += len(drawn)
             return WAVE + GAP
         return 0
 
@@ -468,7 +475,7 @@
         return {
             "from": "real time", "real": asked.real, "hollow": asked.hollow, "couriers": asked.couriers,
             "zones": asked.zones, "grouped": asked.grouped, "seed": asked.seed, "fault_name": asked.fault,
-            "rate": asked.rate, "failing": asked.failing, "period_ms": asked.period // MS,
+            "hit": self.hit, "rate": asked.rate, "failing": asked.failing, "period_ms": asked.period // MS,
             "processes": self.most_processes, "memory_mb": round(self.peak / MB, 1),
             "planned_mb": round(self.plan.memory / MB, 1), "known_s": _seconds(known), "least_known": least,
             "settled_s": _seconds(settled), **figures, "messages": len(self.rig.sent),
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -99,9 +99,37 @@
 @pytest.mark.parametrize("fault", ["loss", "delay", "cut", "one-way", "stop", "restarts", "none"])
 def test_the_model_has_all_faults(fault: str) -> None:
     report = modelled.play(Asked(0, 8, 2, 4 * SECOND, 2, fault, period=300_000), Bounds())
+    assert report["hit"] == {"cut": 4, "one-way": 4, "stop": 4, "restarts": 4, "none": 0}.get(fault, 8)
     assert report["findings"] == [] and (report["settled_s"] is None) is (fault == "none")
 
 
+@pytest.mark.parametrize(("fault", "hit"), [("kill", 124), ("stop", 124)])
+def test_the_last_zones_largest_host_is_hit_not_one_of_a_single_courier(tmp_path: Path, fault: str, hit: int) -> None:
+    with scale.Scale(Asked(2, 500, 4, fault=fault), tmp_path, Bounds(), lambda text: None) as play:
+        told: list[object] = []
+        for place in range(len(play.plan.hosts)):
+            play.hosts[str(place)] = Deaf(told)  # type: ignore[assignment]
+        play.inject()
+        play.hosts.clear()
+    assert play.hit == hit and len(told) > 0
+
+
+class Deaf:
+    """A host that only notes what is done to it."""
+
+    def __init__(self, told: list[object]) -> None:
+        self.told, self.process = told, self
+
+    def send_signal(self, number: int) -> None:
+        self.told.append(number)
+
+    def kill(self) -> None:
+        self.told.append("killed")
+
+    def tell(self, command: dict[str, Any]) -> None:
+        self.told.append(command)
+
+
 def test_the_most_calls_in_any_span_are_those_that_a_slow_count_finds() -> None:
     pick = Random(4)
     for _ in range(200):
@@ -144,6 +172,7 @@
     assert done.exit_code == 0, f"{done.output} {done.exception!r}"
     (play,) = json.loads(out.read_text())["plays"]
     assert play["findings"] == [] and play["settled_s"] is not None and play["known_s"] is not None
+    assert play["hit"] == {"cut": 6, "kill": 5, "restarts": 4}[fault]
     assert (play["messages"] > 0) is (real != "0") and play["least_known"] > 0
     assert all(0 < most <= calls for most, calls in play["busiest_span"].values())
     assert play["sums"]["passed"] > 0 and (play["sums"].get("lost fault", 0) > 0) is (fault == "cut")
