--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -611,6 +611,10 @@
         if slow.left is not None and not callable(slow.row.bound):
             fits += f", in a group of {T.zone} {amount(slow.left * slow.bound, slow.row.unit)}"
         fits += "."
+        if slow.left is not None and slow.left > 1:
+            fits += (f" That is still {times(slow.left)} times its bound: groups alone do not do it, a start must be "
+                     f"given "
+                     "the members by one who knows them, at once, and not by what goes along with questions.")
     lines += [f"1. Members are the gate. Beyond {MOST_MEMBERS:,} of {N:,} the code refuses more, and beyond "
               f"{seal.SENDERS:,} "
               "drops what they say; loans, words and counts go to members only. So no other mechanism that couriers "
