Capacity: slopes of groups and brokers beside those of before; what a broker bears

The slopes of members, churn, waves and words could be measured only with all in one group. The same functions now take a group: members-grouped, members-churn-grouped, members-wave-grouped, word-brokered, with the same figures, so the page can set them side by side; and 'broker', what one bears by subscribers, which takes the place of a guess worked out from a teller's cost.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -33,7 +33,7 @@
 
 ROOT = Path(__file__).parent.parent
 FILE, PAGE = ROOT / "benchmarks" / "capacity.json", ROOT / "docs" / "CAPACITY.md"
-MODULES = ("benchmarks.capacity_peers", "benchmarks.capacity_courier")
+MODULES = ("benchmarks.capacity_peers", "benchmarks.capacity_courier", "benchmarks.capacity_brokers")
 
 
 class Fault(Exception):
--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -43,7 +43,8 @@
 OF_CONTROL = (CONTROL, MEMORY, BYTES)
 SAID = 2  # datagrams on members that a courier sends in a period: its question, and an answer to another's
 NEAR = 1.5  # within this factor a figure that was looked at before counts as confirmed
-PAIRS = (("word", "word-brokered"), ("members", "members-grouped"), ("members-churn", "members-grouped"))
+PAIRS = (("word", "word-brokered"), ("members", "members-grouped"), ("members-churn", "members-churn-grouped"),
+         ("members-wave", "members-wave-grouped"))
 
 
 def number(value: float) -> str:
@@ -347,7 +348,7 @@
             told.append([what, amount(small, unit), amount(large, unit), times(large / small) if small else ""])
         return [f"What groups of a zone ({T.zone:,} couriers) would leave of this, by the same slopes; what a group "
                 f"says "
-                "to other groups is not in it, as that is not built:", "",
+                "to other groups (words, by brokers) is not in it:", "",
                 *table(["what", f"{T.zone:,} members", f"{N:,} members", "times"], told)]
     return ["### Groups that follow zones", "", *_guarded(lines)]
 
@@ -437,9 +438,10 @@
     return ["## When a region's control machines are gone", "",
             f"The other {left} carry {number(N / left)} couriers each instead of {number(T.couriers_a_control)}, "
             f"{number(N / left / T.couriers_a_control)} times as many. Today's couriers need none of them: parts of "
-            f"limits, "
-            "members and words go on among themselves, lists and configuration stay as last "
-            "heard.", "", *_guarded(lines)]
+            f"limits and members go on among themselves, lists and configuration stay as last heard. A region whose "
+            f"{T.control_a_region} brokers are gone hears no words but those that its couriers say along in their "
+            "groups, and no other region's brokers stand in: each courier judges endpoints by its own calls.",
+            "", *_guarded(lines)]
 
 
 def _backlog(reading: Reading) -> list[str]:
@@ -690,9 +692,9 @@
         "- A wave of restarts was played for members only: not with lists, journals and clients, and not for a whole "
         "zone "
         "gone for good.",
-        "- What groups say to each other, what brokers bear when one of them is gone, and how fast an order by hash "
-        "settles "
-        "after losses: not built, so not measured.",
+        "- What brokers bear when one of them is gone, and how fast an order by hash settles after losses, is in no "
+        "slope; the row on words has neither what arrives from other regions' brokers nor what many words share of a "
+        "datagram and a tick.",
         "- Limits, sizes and rates of destinations are even here. Real ones are not: a few have most of the events.",
         "- How events reach couriers today, and what a client knows of them, is not part of this program: of the "
         "client's "
--- a/benchmarks/capacity_peers.py
+++ b/benchmarks/capacity_peers.py
@@ -40,14 +40,26 @@
 EVERYBODY = 0.99
 
 
+def _net(size: int, seed: int, group: int = 0) -> Net:
+    """So many couriers; in groups of so many, where told, in two regions with three brokers each, which run."""
+    if not group:
+        return Net(size, seed, Faults(), seeds=5, bytes_a_second=TARGET.bytes_a_second)
+    groups = max(1, size // group)
+    net = Net(size, seed, Faults(), seeds=5, bytes_a_second=TARGET.bytes_a_second, brokers={"x": 3, "y": 3},
+              place=lambda n: ("xy"[n % groups % 2], f"z{n % groups}"))
+    for name in net.brokers:
+        net.start(name)
+    return net
+
+
 def _told_all(net: Net) -> list[Peer]:
-    """All couriers started, each told of all others, as long after a start: nothing of it is news any more."""
+    """All couriers started, each told of all of its group, as long after a start: nothing of it is news any more."""
     for name in net.nodes:
         net.start(name)
     peers = [node.peer for node in net.nodes.values() if node.peer is not None]
     said = [decoded(peer.members.me) for peer in peers]
     for peer in peers:
-        _tell(peer, said)
+        _tell(peer, [each for each in said if each.group == peer.about.group])
     return peers
 
 
@@ -65,9 +77,9 @@
     peer.events, peer.members.events = [], []
 
 
-def members(size: int, seed: int) -> dict[str, float]:
+def members(size: int, seed: int, group: int = 0) -> dict[str, float]:
     """Starts spread over 20 s, a look 60 s after the first, then 20 s at rest."""
-    net = Net(size, seed, Faults(), seeds=5, bytes_a_second=TARGET.bytes_a_second)
+    net, all_known = _net(size, seed, group), (group or size) - 1
     for n, name in enumerate(net.nodes):
         net.at(n * STARTS // size, lambda name=name: net.start(name))  # type: ignore[misc]
     net.run(STARTS)
@@ -79,7 +91,7 @@
         while net.now < end:
             net.run(net.now + SECOND)
             look = time.process_time()
-            if not known and min(len(peer.members.alive()) for peer in peers) >= int(EVERYBODY * (size - 1)):
+            if not known and min(len(peer.members.alive()) for peer in peers) >= int(EVERYBODY * all_known):
                 known = net.now
             looked += time.process_time() - look
 
@@ -97,9 +109,9 @@
     return found | {"all-known": (known or PATIENT) / SECOND}
 
 
-def churn(size: int, seed: int) -> dict[str, float]:
-    """All know all; one ends for good, and each 5 s another one is started again, for 40 s."""
-    net = Net(size, seed, Faults(), seeds=5, bytes_a_second=TARGET.bytes_a_second)
+def churn(size: int, seed: int, group: int = 0) -> dict[str, float]:
+    """All know all of their group; one ends for good, and each 5 s another one is started again, for 40 s."""
+    net = _net(size, seed, group)
     _told_all(net)
     net.run(SETTLE)
     begin, lost = net.now, f"n{size // 2}"
@@ -113,7 +125,7 @@
     while net.now < begin + CHURN:
         net.run(net.now + 100 * MS)
         look = time.process_time()
-        if not known and _held_dead(net, lost) >= int(EVERYBODY * (size - 1)):
+        if not known and _held_dead(net, lost) >= int(EVERYBODY * ((group or size) - 1)):
             known = net.now
         looked += time.process_time() - look
     cpu = time.process_time() - cpu - looked
@@ -126,14 +138,15 @@
             "loss-known": ((known or net.now) - begin) / SECOND, "wrongly-dead": float(wrong)}
 
 
-def wave(size: int, seed: int) -> dict[str, float]:
-    """All know all; the target's part of the couriers ends at once, and all of them start a second later."""
-    net = Net(size, seed, Faults(), seeds=5, bytes_a_second=TARGET.bytes_a_second)
+def wave(size: int, seed: int, group: int = 0) -> dict[str, float]:
+    """All know all of their group; the target's part of all ends at once, and all of them start a second later."""
+    net = _net(size, seed, group)
     _told_all(net)
     net.run(SETTLE)
     count = max(1, round(size * TARGET.wave / TARGET.couriers))
     names = list(net.nodes)
     gone, others = names[-count:], names[:-count]
+    concerned = [(name, other) for name in gone for other in others if net.nodes[name].group == net.nodes[other].group]
     for name in gone:
         net.kill(name)
         net.at(net.now + SECOND, lambda name=name: net.start(name))  # type: ignore[misc]
@@ -145,11 +158,11 @@
         net.run(net.now + 200 * MS)
         peers = {name: node.peer for name, node in net.nodes.items() if node.peer is not None}
         if not known and len(peers) == size:
-            heard = sum(_holds(peers[other], name, net.nodes[name].life) for name in gone for other in others)
-            known = net.now if heard >= EVERYBODY * len(gone) * len(others) else 0
+            heard = sum(_holds(peers[other], name, net.nodes[name].life) for name, other in concerned)
+            known = net.now if heard >= EVERYBODY * len(concerned) else 0
         if not joined and len(peers) == size:
             knows = sum(len(peers[name].members.alive()) for name in gone)
-            joined = net.now if knows >= EVERYBODY * len(gone) * (size - 1) else 0
+            joined = net.now if knows >= EVERYBODY * len(gone) * ((group or size) - 1) else 0
         if net.now <= began + WAVE_FOR:
             sent = sum(peer.sent - (0 if name in gone else before[name]) for name, peer in peers.items())
             held_back = sum(peer.held_back for peer in peers.values()) - held_before
@@ -166,7 +179,7 @@
 def _held_dead(net: Net, lost: str) -> int:
     count = 0
     for node in net.nodes.values():
-        if node.peer is not None:
+        if node.peer is not None and node.group == net.nodes[lost].group:
             held = node.peer.members.members.get(lost)
             count += held is None or held.said.stand >= Stand.DEAD
     return count
--- a/benchmarks/capacity_roles.py
+++ b/benchmarks/capacity_roles.py
@@ -20,6 +20,8 @@
 from benchmarks.target import TARGET as T
 from kestrelspar.http.watch import MOST_LINE
 from kestrelspar.peers import counts, seal, shares
+from kestrelspar.peers.brokers import COPIES, SECOND, TERM
+from kestrelspar.peers.judgements import ROUNDS
 from kestrelspar.peers.link import MOST_TICK
 from kestrelspar.peers.peer import About
 
@@ -65,7 +67,7 @@
     COURIER = "the courier as it is"
 
 
-STAND = {By.WORDS: Stands.MISSING, By.GROUPS: Stands.MISSING, By.PLACED: Stands.MISSING, By.SHARES: Stands.PART,
+STAND = {By.WORDS: Stands.STANDS, By.GROUPS: Stands.STANDS, By.PLACED: Stands.MISSING, By.SHARES: Stands.PART,
          By.LISTS: Stands.PART, By.CONFIG: Stands.MISSING, By.COUNTS: Stands.PART, By.BACKLOG: Stands.PART,
          By.COURIER: Stands.STANDS}
 
@@ -154,10 +156,15 @@
     return (1 - T.core) * 1e6 / r.at("message-served", "cpu", T.events_each)
 
 
-def _brokered(r: Reading) -> float:
-    sizes = r.fit("word-alone", "told").means
-    one = min(r.at("word-alone", "processor", size) / r.at("word-alone", "told", size) for size in sizes)
-    return N * FAILS / T.control_machines * A.placed * one
+def _brokered(r: Reading, figure: str) -> float:
+    """What one broker bears of words: each destination that is down is tried once a step, and the failure told."""
+    words = T.destinations_down * COPIES * ROUNDS / T.control_machines
+    return words * r.at("broker", figure, T.region)
+
+
+def _renewals(r: Reading, figure: str) -> float:
+    """What one broker bears of leases: each courier of its region renews three times in a term."""
+    return T.region * 3 * SECOND / TERM * r.at("broker", figure, T.region)
 
 
 ROWS: tuple[Row, ...] = (
@@ -192,7 +199,7 @@
     Row(Role.COURIER, "messages", "words on what is down, told by one courier",
         "failed calls a second x what each member adds to word.sent x members",
         lambda r: FAILS * r.each("word", "sent", N - 1), "bytes", T.bytes_a_second, BYTES, By.WORDS,
-        lambda r: FAILS * r.each("word", "sent", A.placed - 1)),
+        lambda r: FAILS * r.at("word-brokered", "sent", N)),
     Row(Role.COURIER, "state", "members that hear of one word before it is too old",
         "couriers, over word-alone.told at all couriers", lambda r: N, "count",
         lambda r: r.at("word-alone", "told", N), "measured", By.WORDS, lambda r: A.placed),
@@ -314,11 +321,18 @@
         lambda r: T.changes_a_second * N / REST * r.at("list-change", "wire", T.destinations), "bytes",
         A.control_mb * 1e6, "assumed, a second", By.CONFIG,
         lambda r: T.changes_a_second * A.placed / REST * r.at("list-change", "wire", T.destinations)),
-    Row(Role.CONTROL, "processor time", "words on what is down, if all go through control machines",
-        "failed calls a second of all, over machines, x couriers told x the least of "
-        "word-alone.processor over word-alone.told",
-        _brokered, "ms", 1_000 * A.control_core, "assumed", By.WORDS, _brokered,
-        "words went to those concerned, through control machines"),
+    Row(Role.CONTROL, "memory", "subscriptions of its region's couriers", "broker.memory at a region's couriers",
+        lambda r: r.at("broker", "memory", T.region), "MB", A.broker_mb, "assumed", By.WORDS,
+        lambda r: r.at("broker", "memory", T.region)),
+    Row(Role.CONTROL, "processor time", "leases of its region's couriers",
+        "renewals a second of a region's couriers x broker.renewal", lambda r: _renewals(r, "renewal") / 1e3, "ms",
+        1_000 * A.control_core, "assumed", By.WORDS, lambda r: _renewals(r, "renewal") / 1e3),
+    Row(Role.CONTROL, "processor time", "words on what is down, one failed try a second each",
+        "destinations down x owners x rounds, over brokers, x broker.word", lambda r: _brokered(r, "word") / 1e3, "ms",
+        1_000 * A.control_core, "assumed", By.WORDS, lambda r: _brokered(r, "word") / 1e3),
+    Row(Role.CONTROL, "messages", "words on what is down, one failed try a second each",
+        "destinations down x owners x rounds, over brokers, x broker.word-sent", lambda r: _brokered(r, "word-sent"),
+        "bytes", A.control_mb * 1e6, "assumed, a second", By.WORDS, lambda r: _brokered(r, "word-sent")),
     Row(Role.CONTROL, "memory", "counts of its couriers, 20 counters each", "counts-held.memory at its couriers",
         lambda r: r.at("counts-held", "memory", T.couriers_a_control), "MB", T.memory_mb, "assumed as for a courier",
         By.COUNTS, supposed="they summed what their couriers count"),
--- a/benchmarks/target.py
+++ b/benchmarks/target.py
@@ -109,6 +109,7 @@
     work_mb: float = 1_000.0  # of a courier, for messages
     disk_mb: float = 100_000.0  # of a courier, for messages
     control_mb: float = 60.0  # megabytes a second that a control machine sends at most
+    broker_mb: float = 1_000.0  # memory of a control machine that a broker may take
     control_core: float = 0.5  # of a core of a control machine, for one kind of work
     restart_in: float = 10.0  # seconds in which a courier must serve again, and all that were lost be known
     spread: float = 30.0  # seconds over which the starts of a wave are to be spread
@@ -125,6 +126,7 @@
         "work_mb": "MB of a courier that its messages may take; the users name a bound for control only",
         "disk_mb": "MB of a courier's disk that its messages may take",
         "control_mb": "MB a second that a control machine sends at most",
+        "broker_mb": "MB of a control machine that a broker may take",
         "control_core": "part of a core of a control machine that one kind of work may take",
         "restart_in": "seconds until a loss must be known, and until a start must serve",
         "spread": "seconds over which a wave's starts are spread by jitter",
