--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -128,8 +128,8 @@
         "test "
         "fails where this page and these differ. Not edited by hand: no figure here is typed.", "",
         f"Measured on {', '.join(days) or 'no day'} by `python -m benchmarks.capacity measure`: {len(rows)} runs of "
-        f"{len({row.name for row in rows})} slopes, each run in a process of its own, at commits "
-        f"{', '.join(commits) or 'none'} (a + where files differed from the commit). Machines: "
+        f"{len({row.name for row in rows})} slopes, each run in a process of its own, of the program "
+        f"at commits {', '.join(commits) or 'none'} (a + where files differed from the commit). Machines: "
         f"{'; '.join(machines) or 'none'}.", "",
         "Three settings. **Real process**: a courier as it is deployed, stand-ins on loopback. **Modelled network**: "
         "all "
