--- a/kestrelspar/lab/scale.py
+++ b/kestrelspar/lab/scale.py
@@ -415,7 +415,8 @@
     def settled(self, since: int) -> bool:
         """Whether all hosts have said, after that, that their couriers hold what is so."""
         hosts = [host for host in self.hosts if host not in self.killed]
-        return all(self.said[host]["at"] > since + SECOND for host in hosts) and max(self.unknown()) <= KNOWN
+        heard = all(host in self.said and self.said[host]["at"] > since + SECOND for host in hosts)
+        return heard and max(self.unknown()) <= KNOWN
 
     def wait(self, done: Callable[[], bool], within: int, text: str) -> int | None:
         """Turn until that holds; how long it took, or nothing where it did not come to that."""
@@ -455,7 +456,8 @@
         figures: dict[str, Any] = {"rest": self.phase(rest)}
         views = self.views()
         least = min([len([m for m in view["members"] if m["stand"] in ("alive", "suspect")]) for view in views.values()]
-                    + [self.said[host]["least"] for host in self.hosts if self.said[host]["sums"].get("couriers")],
+                    + [self.said[host]["least"] for host in self.hosts
+                       if host in self.said and self.said[host]["sums"].get("couriers")],
                     default=0)
         grown = self._grown(alone, empty)
         settled: int | None = None
