--- a/kestrelspar/lab/rig.py
+++ b/kestrelspar/lab/rig.py
@@ -32,7 +32,7 @@
 from kestrelspar.standins import platform
 
 KEY = "a key that all couriers of the rig have"
-READY_WITHIN = 60 * SECOND  # a machine that others use, too
+READY_WITHIN = 20 * SECOND
 ANSWER_WITHIN = SECOND
 SLACK = 500 * MS  # a call that left before its courier, perhaps short of a core, had read the wait; and our own turns
 ROUNDED = 10 * MS  # a wait is told in hundredths of a second
