Discovery that takes seconds for an answer's head is heard again

A discovery that many ask takes seconds for it, so nobody was heard, and all asked again. Now a question without a head has the next one waited for twice as long, up to 4 s, and the wait behind it is shorter by as much, so a change is still heard within 6 s of when discovery can answer. Where the list is pushed nothing changes.

--- a/kestrelspar/http/asking.py
+++ b/kestrelspar/http/asking.py
@@ -17,6 +17,10 @@
 ``SILENCE``, and a wait after it takes what is left of the time, at most ``LONGEST``. Where the bound for many is above
 that, waits are drawn from its end: as many questions a second, and none of them later.
 
+A discovery that many ask may take seconds for a head, also for a refusal. Who gives up sooner is never heard, and asks
+again at discovery's cost. So after a question without a head the next one is waited for twice as long, up to
+``PATIENT``, and the wait behind it is shorter by as much. Not where the list is pushed: that agent answers at once.
+
 Times are microseconds.
 """
 
@@ -29,7 +33,8 @@
 TOLD = 6 * SECOND  # after this a change counts as told
 SILENCE = 2_700 * MS  # an empty line comes every 2 s: after this a watch is given up
 CONNECT = 400 * MS  # a question: so long until its connection is there
-ANSWER = 1 * SECOND  # and until its answer's head is
+ANSWER = 1 * SECOND  # and until its answer's head is, unless discovery is slow
+PATIENT = 4 * SECOND  # the longest that the head is waited for
 SPARE = 500 * MS  # for the way, and for a turn that was long
 LONGEST = 4 * SECOND  # wait between two questions: with the try before it and SPARE, under TOLD
 
@@ -52,6 +57,7 @@
         self._pushed = pushed
         self._bound = self._after_break = min(self._first, PROMPT) if pushed else self._first
         self._start = self._first
+        self.patience = ANSWER  # for how long the next question's head is waited for
 
     def start(self) -> int:
         """How long to wait before the first question where an older list is at hand: many start together."""
@@ -60,13 +66,21 @@
     def moved(self) -> None:
         """Discovery is elsewhere now: what was refused before says nothing of it."""
         self._bound, self._start = self._after_break, min(self._first, MOVED)
+        self.patience = ANSWER
+
+    def broke(self, heard: bool, quiet: int = 0, slow: bool = False) -> int:
+        """How long to wait after a try; ``heard``: it told something; ``quiet``: for how long it was silent.
 
-    def broke(self, heard: bool, quiet: int = 0) -> int:
-        """How long to wait after a try; ``heard``: it told something; ``quiet``: for how long it was silent."""
+        ``slow``: it was given up without a head, its connection being there.
+        """
         if heard:
             self._bound = self._after_break
             return self._dice.randrange(min(self._bound, max(PROMPT, TOLD - SPARE - quiet)))
         most = TOLD - SPARE - CONNECT - ANSWER - quiet if quiet else LONGEST
+        if slow:
+            most -= self.patience - ANSWER  # that is gone already
+            if not self._pushed:
+                self.patience = min(PATIENT, 2 * self.patience)
         self._bound = min(self._most, max(self._after_break, 2 * self._bound))
         least = max(0, min(self._bound - LONGEST, most - PROMPT))
         return self._dice.randrange(least, max(least + PROMPT, min(self._bound, most)))
--- a/kestrelspar/http/watch.py
+++ b/kestrelspar/http/watch.py
@@ -10,7 +10,7 @@
 
 from kestrelspar.core.courier import Carrier, Courier, NextHop
 from kestrelspar.http import parser
-from kestrelspar.http.asking import ANSWER, CONNECT, SILENCE, Asking
+from kestrelspar.http.asking import CONNECT, SILENCE, Asking
 from kestrelspar.journal.left import Left
 from kestrelspar.runtime import heap, logs
 from kestrelspar.runtime.buffers import BufferPool, Closed, Late, Stream
@@ -49,6 +49,7 @@
         self._lost: int | None = None  # since when no line has come
         self._tries = 0  # to hear again, since then
         self._quiet = 0  # for how long the last connection had been silent, if that was its end
+        self._slow = False  # it was given up without an answer's head
         self._status: int | None = None  # of a question that was refused
         self._based = False  # whether a whole list is there that changes after ``index`` can build on
         self._stream: Stream | None = None
@@ -139,11 +140,11 @@
         if self._based or moves:
             self.loop.sleep(self._asking.start())
         while moves == self._moves:
-            self._quiet = 0
+            self._quiet, self._slow = 0, False
             heard = self._watch()
             if moves != self._moves:
                 return
-            wait = self._asking.broke(heard, self._quiet)
+            wait = self._asking.broke(heard, self._quiet, self._slow)
             if heard or self._lost is None:  # one line for a break and its end, not for each try
                 logs.event("map-break", source=SOURCE, revision=self.index, status=self._status, again_ms=wait // MS)
                 self._lost, self._tries = self.loop.now, 0
@@ -166,8 +167,9 @@
             if not self._based and not self.index and not self._whole(stream):
                 return False
             target = f"/registry/instances?watch=1&after={self.index}"
-            stream.write(parser.request("GET", target, "app.svc", {}), self.loop.now + ANSWER)
-            answer = parser.read_head(stream, self.loop.now + ANSWER, response=True)
+            deadline = self.loop.now + self._asking.patience
+            stream.write(parser.request("GET", target, "app.svc", {}), deadline)
+            answer = parser.read_head(stream, deadline, response=True)
             if answer.status != 200:
                 self._status = answer.status
                 return False
@@ -198,14 +200,14 @@
         except (Closed, parser.BadMessage):
             return heard
         except Late:
-            self._quiet = self.loop.now - alive if alive else 0
+            self._quiet, self._slow = self.loop.now - alive if alive else 0, not alive
             return heard
         finally:
             stream.close()
 
     def _whole(self, stream: Stream) -> bool:
         """Ask for the whole list, as what changed after version 0 need not be all of it; whether it came."""
-        deadline = self.loop.now + ANSWER
+        deadline = self.loop.now + self._asking.patience
         stream.write(parser.request("GET", "/registry/instances", "app.svc", {}), deadline)
         answer = parser.read_head(stream, deadline, response=True)
         body = parser.read_body(stream, answer, self.loop.now + SILENCE, response=True, most=MOST_LINE)
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from kestrelspar.http.asking import Asking
+from kestrelspar.http.asking import CONNECT, PATIENT, SPARE, TOLD, Asking
 from kestrelspar.runtime.loop import MS, SECOND
 
 TAKES = 10  # questions in any second; beyond that it refuses
@@ -55,3 +55,39 @@
     assert asking.broke(heard=True) < 150 * MS
     one, same, other = (Asking(40, seed, pushed=False) for seed in (2, 2, 3))
     assert one.start() == same.start() != other.start()
+
+
+def gaps(asking: Asking, takes: list[int | None]) -> tuple[list[int], int | None]:
+    """Times between the questions of one courier, whose heads take so long (None: refused at once); which was heard."""
+    found = []
+    for n, head in enumerate(takes):
+        if head is not None and head <= asking.patience:
+            return found, n
+        lasted = CONNECT if head is None else CONNECT + asking.patience
+        found.append(lasted + asking.broke(heard=False, slow=head is not None))
+    return found, None
+
+
+@pytest.mark.parametrize("couriers", [1, 3, 40, 200, 5_000])
+@pytest.mark.parametrize("head", [1_500 * MS, 3 * SECOND, 3_900 * MS])
+def test_a_discovery_that_takes_seconds_for_a_head_is_heard_and_asked_in_time(couriers: int, head: int) -> None:
+    for seed in range(50):
+        found, heard = gaps(Asking(couriers, seed, pushed=False), [None, head, None, head, head, head, head])
+        assert heard is not None and max(found) <= TOLD - SPARE
+        # For ever silent: asked as often as is needed to be told in time, and no more often than refused ones ask.
+        silent, heard = gaps(Asking(couriers, seed, pushed=False), [TOLD] * 40)
+        assert heard is None and max(silent) <= TOLD - SPARE and min(silent[3:]) >= PATIENT
+
+
+def test_an_agent_that_pushes_is_never_waited_for_longer() -> None:
+    asking = Asking(40, 1, pushed=True)
+    silent, _ = gaps(asking, [TOLD] * 20)
+    assert asking.patience == 1 * SECOND and max(silent) <= 3 * SECOND
+
+
+def test_elsewhere_discovery_is_not_held_for_slow() -> None:
+    asking = Asking(40, 1, pushed=False)
+    gaps(asking, [TOLD] * 5)
+    assert asking.patience == PATIENT
+    asking.moved()
+    assert asking.patience == 1 * SECOND
