--- a/kestrelspar/lab/checkers.py
+++ b/kestrelspar/lab/checkers.py
@@ -58,6 +58,11 @@
     return found
 
 
+def concurrent_calls(calls: Iterable[Call]) -> list[str]:
+    """Describe the calls that arrived while an earlier call of their message was out on an open connection."""
+    return [f"{call.trace}: two calls at once at {call.at}" for call in calls if call.concurrent]
+
+
 def served_share(sent: dict[str, Submission], calls: Iterable[Call]) -> float:
     """Return the share of the submitted messages, accepted or not, that ran; 0 if none was submitted."""
     ran = {call.trace for call in calls if call.accepted}
--- /dev/null
+++ b/kestrelspar/lab/response_relay.py
@@ -0,0 +1,131 @@
+"""A TCP relay in front of an HTTP server that sends copies of some of the server's responses to the client.
+
+A copy follows on the connection of the original after a random delay, as a faulty middlebox or a retransmitting server
+would send it. Everything else is forwarded unchanged.
+"""
+
+from __future__ import annotations
+
+import random
+import socket
+from contextlib import suppress
+from dataclasses import dataclass
+
+from kestrelspar.http import parser
+from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
+from kestrelspar.runtime.loop import MS, SECOND, Loop, connect
+from kestrelspar.standins.server import accept, free_listener
+
+CONNECT_TIMEOUT = SECOND
+
+
+@dataclass(slots=True)
+class CopyFaults:
+    """Which responses are copied, and when the copies are sent."""
+
+    share: float = 0.0  # of the responses
+    delay: tuple[int, int] = (MS, 250 * MS)  # bounds of the random delay of a copy, in microseconds
+    copies: int = 1  # copies of each chosen response
+
+
+class ResponseRelay:
+    """Forwards connections to one server, and copies responses as ``faults`` says.
+
+    Responses without a Content-Length, such as an endless watch, are forwarded and never copied.
+    """
+
+    def __init__(self, loop: Loop, upstream: tuple[str, int], seed: int, faults: CopyFaults | None = None) -> None:
+        self.loop, self.upstream, self.faults = loop, upstream, faults or CopyFaults()
+        self.copies_sent = 0
+        self._random = random.Random(seed)
+        self._buffers = BufferPool(2048)
+        self._listener = free_listener()
+        self.address = "{}:{}".format(*self._listener.getsockname())
+        loop.spawn(accept, loop, self._listener, self._buffers, self._relay)
+
+    def _relay(self, client: Stream) -> None:
+        sock = connect(self.loop, self.upstream, self.loop.now + CONNECT_TIMEOUT)
+        if sock is None:
+            client.close()
+            return
+        server = Stream(self.loop, sock, self._buffers)
+        self.loop.spawn(self._forward_requests, client, server)
+        self._forward_responses(server, client)
+
+    def _forward_requests(self, client: Stream, server: Stream) -> None:
+        try:
+            while True:
+                server.write(self._next_bytes(client), None)
+        except (ConnectionClosedError, DeadlineExceededError):
+            server.close()
+            client.close()
+
+    def _forward_responses(self, server: Stream, client: Stream) -> None:
+        received, is_unsized = b"", False
+        try:
+            while True:
+                received += self._next_bytes(server)
+                while not is_unsized and (size := _response_size(received)) is not None:
+                    response, received = received[:size], received[size:]
+                    client.write(response, None)
+                    self._schedule_copies(client, response)
+                is_unsized = is_unsized or _is_unsized(received)
+                if is_unsized and received:
+                    client.write(received, None)
+                    received = b""
+        except (ConnectionClosedError, DeadlineExceededError):
+            server.close()
+            self._close_after_copies(client)
+
+    @staticmethod
+    def _next_bytes(stream: Stream) -> bytes:
+        while not stream.unread:
+            stream.fill(None)
+        data = bytes(stream.unread)
+        stream.consume(len(data))
+        return data
+
+    def _schedule_copies(self, client: Stream, response: bytes) -> None:
+        if self._random.random() >= self.faults.share:
+            return
+        for _ in range(self.faults.copies):
+            self.loop.spawn(self._send_copy, client, response, self._random.randint(*self.faults.delay))
+
+    def _send_copy(self, client: Stream, response: bytes, delay: int) -> None:
+        self.loop.sleep(delay)
+        if client.sock.fileno() < 0:
+            return
+        try:
+            client.write(response, self.loop.now + SECOND)
+        except (ConnectionClosedError, DeadlineExceededError):
+            return
+        self.copies_sent += 1
+
+    def _close_after_copies(self, client: Stream) -> None:
+        """Half-close the client's side, so that the end of input does not overtake scheduled copies."""
+        self.loop.sleep(self.faults.delay[1])
+        with suppress(OSError):
+            client.sock.shutdown(socket.SHUT_WR)
+        client.close()
+
+
+def _response_size(data: bytes) -> int | None:
+    """The size in bytes of the complete response at the start of the data; None if there is none with a known end."""
+    try:
+        head = parser.head(memoryview(data), response=True)
+        length = parser.body_length(head) if head is not None else None
+    except parser.MalformedMessageError:
+        return None
+    if head is None or length is None:
+        return None
+    size = head.size + (0 if head.status in (204, 304) else max(0, length))
+    return size if len(data) >= size and (length >= 0 or head.status in (204, 304)) else None
+
+
+def _is_unsized(data: bytes) -> bool:
+    """Whether the data begin with a response whose end only the connection or a chunked coding tells, or with noise."""
+    try:
+        head = parser.head(memoryview(data), response=True)
+        return head is not None and head.status not in (204, 304) and parser.body_length(head) in (None, -1)
+    except parser.MalformedMessageError:
+        return True
--- a/kestrelspar/standins/platform.py
+++ b/kestrelspar/standins/platform.py
@@ -115,6 +115,7 @@
         self.rows, self.index = rows, 1
         self.notices: list[dict[str, Any]] = []
         self.on_notice: Callable[[dict[str, Any]], None] = self.notices.append
+        self.refuses_batch: Callable[[], bool] = lambda: False  # called with each batch; a refused one gets a 500
 
     def _list(self) -> bytes:
         snapshot = {"index": self.index, "snapshot": True, "endpoints": self.rows}
@@ -124,6 +125,8 @@
         """See ``Server.reply``."""
         method, target, _ = head.start_line
         if method == "POST":
+            if self.refuses_batch():
+                return parser.response(500)
             for line in body.splitlines():
                 self.on_notice(ujson.loads(line))
             return parser.response(204)
