A response counts for one call only: connections rest, and stray bytes end the trust in them

Cause: HttpCarrier._acquire took the connection used last, at once. A copy of a response that came a few ms later was read as the next call's response, and each later call on the connection got the response of the call before it.

Change: http/pool.py keeps idle connections. They rest 0.5 s before reuse; a payment takes the one that has rested longest; bytes that no call requested close all idle connections of the endpoint, and for 60 s each call to it has a connection of its own. If these bytes were a response, all connections rest 2 s for that time, and payments use new ones. A call that was out on a used connection when its endpoint became distrusted counts as one that may have run, whatever its response. The last byte of a long request is held back while a response is already there: it is another request's. An unused connection that goes back to the pool keeps its idle time.

--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -118,6 +118,8 @@
     report: tuple[float, ...] = ()  # load report of the endpoint, in the order of ``Settings.columns``; empty: none
     note: str = ""
     queued: int = 0  # microseconds in a queue before the first byte, excluded from the latency of the call
+    # Microseconds for which the connection had rested since its last call; None: this was its first call.
+    rested: int | None = None
     # With OK, if the next hop has only accepted the message and its outcome follows: the name of the outcome source in
     # ``Courier.outcome_sources``, and the data by which that source recognizes the outcome.
     outcome_source: tuple[str, dict[str, Any]] | None = None
@@ -432,6 +434,7 @@
                 wait_ms=result.retry_after // MS or None,
                 note=result.note or None,
                 dest=message.dest,
+                rested_ms=None if result.rested is None else result.rested // MS,
                 report=",".join(f"{x:g}" for x in result.report) or None,
                 after_ms=(self.loop.now - started) // MS,
             )
--- a/kestrelspar/http/nexthop.py
+++ b/kestrelspar/http/nexthop.py
@@ -4,9 +4,11 @@
 
 import math
 from collections.abc import Callable
+from dataclasses import replace
 
 from kestrelspar.core.courier import NEVER_RAN, Message, NextHop, Result
 from kestrelspar.http import parser
+from kestrelspar.http.pool import ConnectionPool, PooledConnection
 from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
 from kestrelspar.runtime.loop import MS, SECOND, Loop, connect
 from snowlock import interface as api
@@ -15,8 +17,8 @@
 # Of conn_idle: so the courier closes a connection before the next hop does, whose idle time begins earlier, when it has
 # responded.
 IDLE_FRACTION = 0.86
-REAP_INTERVAL = 200 * MS  # between searches for idle connections that have expired or were closed
 MAX_RETRY_AFTER = 3_600 * SECOND  # larger values count as this one
+MAX_SINGLE_WRITE = 16 * 1024  # bytes of a request that the socket's send buffer takes at once
 RESPONSE_READ_TIMEOUT = 1 * SECOND  # from the first byte of a response to its last
 
 
@@ -77,18 +79,22 @@
     return bytes(stream.unread).startswith(" ".join(head.start_line).encode("latin-1"))
 
 
+def _without_proof(result: Result) -> Result:
+    """The result of a call whose response may be that of another call: it may have run, and may not have.
+
+    A retry-after delay is honoured all the same.
+    """
+    return Result(Outcome.RESET, result.retry_after, note=f"unproven {result.outcome.name.lower()}")
+
+
 class HttpCarrier:
     """Makes delivery attempts and pools idle connections."""
 
     def __init__(self, loop: Loop, buffers: BufferPool, settings: api.Settings, max_idle: int) -> None:
         self.loop, self.buffers, self.settings = loop, buffers, settings
         self.opened = self.reused = 0  # how many attempts opened a connection, and how many reused an idle one
-        # By endpoint id and address: each connection, and since when it has been idle.
-        self._idle: dict[tuple[bytes, tuple[str, int]], list[tuple[Stream, int]]] = {}
-        self._max_idle = max_idle
         self._draining_responses = 0  # connections on which the rest of a 200 is being read; at most one per slot
-        self._idle_timeout = int(settings.idle_ns // 1000 * IDLE_FRACTION)
-        loop.spawn(self._close_expired)
+        self._connections = ConnectionPool(loop, max_idle, int(settings.idle_ns // 1000 * IDLE_FRACTION))
 
     def attempt(self, message: Message, hop: NextHop, deadline: int, guard: Callable[[], bool]) -> Result:
         """Makes one delivery attempt, from connecting to the outcome.
@@ -96,24 +102,55 @@
         ``deadline`` is a time of the loop's clock, in microseconds. ``guard`` is called just before the request is
         written; if it returns False, nothing is sent, and the connection returns to the pool.
         """
-        stream = self._acquire(hop)
-        if stream is None:
-            timeout = min(self.settings.connect_timeout_ns // 1000, hop.connect_timeout)
-            connect_deadline = min(deadline, self.loop.now + timeout)
-            sock = connect(self.loop, hop.address, connect_deadline)
-            if sock is None:
-                return Result(Outcome.CONNECT_FAILED)
-            self.opened += 1
-            stream = Stream(self.loop, sock, self.buffers)
+        connection = self._connect(message, hop, deadline)
+        if connection is None:
+            return Result(Outcome.CONNECT_FAILED)
         if not guard():
-            self._release(hop, stream)
+            self._connections.release_unused(hop, connection)
             return Result(Outcome.MOOT, note="barred meanwhile")
+        rested = self.loop.now - connection.since if connection.has_carried_call else None
+        result = self._send(message, hop, connection, deadline)
+        if rested is not None and self._connections.is_distrusted(hop):
+            result = _without_proof(result)
+        return replace(result, rested=rested)
+
+    def _connect(self, message: Message, hop: NextHop, deadline: int) -> PooledConnection | None:
+        """An idle connection, or a new one; None if that could not be opened in time.
+
+        For a message that may not be sent again, the pool is stricter: a late copy of an earlier refusal would look
+        like proof that it did not run.
+        """
+        may_not_repeat = self.settings.classes[message.cls].safety is api.Safety.UNSAFE
+        idle = self._connections.acquire(hop, may_not_repeat)
+        if idle is not None:
+            self.reused += 1
+            return idle
+        timeout = min(self.settings.connect_timeout_ns // 1000, hop.connect_timeout)
+        sock = connect(self.loop, hop.address, min(deadline, self.loop.now + timeout))
+        if sock is None:
+            return None
+        self.opened += 1
+        return PooledConnection(Stream(self.loop, sock, self.buffers), self.loop.now, has_carried_call=False)
+
+    def _send(self, message: Message, hop: NextHop, connection: PooledConnection, deadline: int) -> Result:
+        """Writes the request and reads its response.
+
+        The last byte is written only while no bytes have arrived: a response that comes earlier is to another request.
+        """
+        stream = connection.stream
         headers = {"X-Trace-Id": message.trace}
         if message.key:
             headers["Idempotency-Key"] = message.key
         headers["X-Expires-In"] = f"{max(1, (deadline - self.loop.now) // MS)}m"
         request = parser.request("POST", hop.target, "app.svc", headers, message.body)
         try:
+            if len(request) > MAX_SINGLE_WRITE:  # may take several turns of the loop
+                stream.write(request[:-1], deadline)
+                request = request[-1:]
+            if not stream.is_reusable():
+                if stream.has_input():
+                    self._connections.note_unrequested_bytes(hop, stream)
+                raise ConnectionClosedError
             stream.write(request, deadline)
         except (ConnectionClosedError, DeadlineExceededError):
             # The last byte was not written: the next hop cannot have processed the message.
@@ -157,6 +194,7 @@
             if status not in (204, 304):
                 parser.read_body(stream, head, deadline, response=True)
             if len(stream.unread) and result.outcome in NEVER_RAN and not _is_duplicate(stream, head):
+                self._connections.note_unrequested_bytes(hop, stream)
                 raise parser.MalformedMessageError(
                     "bytes after the end of the response: noise, or a wrong Content-Length"
                 )
@@ -215,53 +253,16 @@
         self._finish(hop, stream, head)
 
     def _finish(self, hop: NextHop, stream: Stream, head: parser.Head) -> None:
-        """Returns the connection to the pool, or closes it.
+        """Return the connection to the pool, or close it.
 
-        It can be reused if the response had a known end, nothing followed it, and neither side closes the connection.
+        It can be reused if the response had a known end, and neither side closes the connection.
         """
         delimited = head.status in (204, 304) or parser.body_length(head) != -1
-        if delimited and head.keep_alive and stream.is_reusable():
-            self._release(hop, stream)
+        if delimited and head.keep_alive:
+            self._connections.release(hop, stream)
         else:
             stream.close()
 
-    def _release(self, hop: NextHop, stream: Stream) -> None:
-        """Adds a connection to the pool; if that is then too large, closes the one that has been idle for longest."""
-        self._idle.setdefault((hop.endpoint.id, hop.address), []).append((stream, self.loop.now))
-        if sum(map(len, self._idle.values())) > self._max_idle:
-            oldest = min((k for k, v in self._idle.items() if v), key=lambda k: self._idle[k][0][1])
-            self._idle[oldest].pop(0)[0].close()
-
-    def _acquire(self, hop: NextHop) -> Stream | None:
-        """Takes the most recently used idle connection, and closes those that are unusable; None if none is usable."""
-        idle = self._idle.get((hop.endpoint.id, hop.address), [])
-        while idle:
-            stream, since = idle.pop()
-            # A request on a connection that the next hop has closed would end with a reset. Input on an idle
-            # connection belongs to no request, whether it is noise or the end of input.
-            if self.loop.now - since < self._idle_timeout and stream.is_reusable():
-                self.reused += 1
-                return stream
-            stream.close()
-        return None
-
     def close_idle(self, hop: NextHop) -> None:
         """Closes the idle connections to the next hop."""
-        for stream, _ in self._idle.pop((hop.endpoint.id, hop.address), []):
-            stream.close()
-
-    def _close_expired(self) -> None:
-        """Closes connections that were idle for too long or that the next hop has closed."""
-        while True:
-            self.loop.sleep(REAP_INTERVAL)
-            for key, idle in list(self._idle.items()):
-                remaining = []
-                for stream, since in idle:
-                    if self.loop.now - since < self._idle_timeout and stream.is_reusable():
-                        remaining.append((stream, since))
-                    else:
-                        stream.close()
-                if remaining:
-                    self._idle[key] = remaining
-                else:
-                    del self._idle[key]
+        self._connections.close_idle(hop)
--- a/kestrelspar/runtime/buffers.py
+++ b/kestrelspar/runtime/buffers.py
@@ -156,6 +156,19 @@
         except OSError:
             return True
 
+    def peek(self, count: int = 64) -> bytes:
+        """Up to ``count`` of the bytes that have arrived and are not consumed; they stay."""
+        if self._start != self._end:
+            return bytes(self.unread[:count])
+        try:
+            return self.sock.recv(count, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except OSError:
+            return b""
+
+    def has_input(self) -> bool:
+        """Whether bytes have arrived that are not consumed; checked without reading any."""
+        return bool(self.peek(1))
+
     def is_reusable(self) -> bool:
         """Whether the connection is open, and no bytes have arrived that are not consumed.
 
--- a/tests/http/test_attempts.py
+++ b/tests/http/test_attempts.py
@@ -11,6 +11,7 @@
 
 from kestrelspar.core.courier import Message
 from kestrelspar.http.nexthop import RESPONSE_READ_TIMEOUT
+from kestrelspar.http.pool import REST
 from kestrelspar.http.sender import State
 from kestrelspar.runtime.buffers import Stream
 from kestrelspar.runtime.loop import MS, SECOND
@@ -124,6 +125,7 @@
 def test_noise_on_an_idle_connection_is_not_read_as_a_response(tmp_path: Path) -> None:
     testbed = HttpTestbed(tmp_path, ok)
     assert attempt(testbed) is Outcome.OK
+    testbed.run_for(REST)
     testbed.peer.streams[0].sock.send(b"HTTP/1.1 2")  # half a status line while the connection is idle
     testbed.run_for(2 * MS)
     assert attempt(testbed) is Outcome.OK and testbed.peer.connections == 2
