Each batch of notices has a connection of its own, so that no copied 204 acknowledges it

Cause: Notices._post kept one connection. A second copy of a 204 was read as the answer to the next batch, which then counted as acknowledged although the platform had refused it.

Change: a batch is posted on a new connection, which is closed after its answer.

--- a/kestrelspar/http/notices.py
+++ b/kestrelspar/http/notices.py
@@ -10,9 +10,9 @@
 from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
 from kestrelspar.runtime.loop import MS, SECOND, Loop, Suspension, connect
 
-# A final state may be reported up to 300 ms after a message's deadline. Waiting on a persistent connection that no
-# longer responds must not use up that time. The platform normally responds at once, so the time-out of the first
-# attempt is short. It doubles after each failure, and after a time-out the next attempt uses a new connection.
+# A final state may be reported up to 300 ms after a message's deadline. Waiting on a connection that does not respond
+# must not use up that time. The platform normally responds at once, so the time-out of the first attempt is short. It
+# doubles after each failure.
 INITIAL_RESPONSE_TIMEOUT, MAX_RESPONSE_TIMEOUT = 150 * MS, 2 * SECOND
 INITIAL_RETRY_DELAY, MAX_RETRY_DELAY = 25 * MS, 250 * MS
 MAX_BATCH_SIZE = 200  # notices
@@ -101,35 +101,30 @@
         return bool(self._pending)
 
     def _post(self, body: bytes, timeout: int) -> int | None:
-        """Posts a batch on the persistent connection or a new one; returns the status of the response.
+        """Posts a batch on a connection of its own; returns the status of the response.
 
-        Returns None if the request failed or the platform's address changed, as the batch then has to be sent again.
-        ``timeout``, in microseconds, is for connecting, the request and the response together.
+        The response names no request: on a connection that has carried one before, a late copy of an earlier response
+        would acknowledge notices that the platform has not taken. Returns None if the request failed or the platform's
+        address changed, as the batch then has to be sent again. ``timeout``, in microseconds, is for connecting, the
+        request and the response together.
         """
         deadline, move_count = self.loop.now + timeout, self._move_count
-        stream, self._stream = self._stream, None
-        if stream is not None and not stream.is_reusable():
+        sock = connect(self.loop, self.address, deadline)
+        if sock is None:
+            return None
+        stream = Stream(self.loop, sock, self.buffers)
+        if move_count != self._move_count:
             stream.close()
-            stream = None
-        if stream is None:
-            sock = connect(self.loop, self.address, deadline)
-            if sock is None:
-                return None
-            stream = Stream(self.loop, sock, self.buffers)
-        if move_count == self._move_count:
-            self._stream = stream  # so that ``move`` can close it
-            try:
-                headers = {"Content-Type": "application/x-ndjson"}
-                stream.write(parser.request("POST", "/reports", "app.svc", headers, body), deadline)
-                head = parser.read_head(stream, deadline, response=True)
-                if head.status != 204:
-                    parser.read_body(stream, head, deadline, response=True)
-                if head.keep_alive and move_count == self._move_count:
-                    return head.status
-                status: int | None = head.status
-            except (ConnectionClosedError, DeadlineExceededError, parser.MalformedMessageError):
-                status = None
-            if move_count == self._move_count:
-                self._stream = None
+            return None
+        self._stream = stream  # so that ``move`` can close it
+        try:
+            headers = {"Content-Type": "application/x-ndjson", "Connection": "close"}
+            stream.write(parser.request("POST", "/reports", "app.svc", headers, body), deadline)
+            status: int | None = parser.read_head(stream, deadline, response=True).status
+        except (ConnectionClosedError, DeadlineExceededError, parser.MalformedMessageError):
+            status = None
         stream.close()
-        return None if move_count != self._move_count else status
+        if move_count != self._move_count:
+            return None
+        self._stream = None
+        return status
