Discovery: a copied list answers no watch, and an older object on a watch changes nothing

A late copy could bring back an endpoint that drains, and messages would still be sent to it.

Cause: the complete list and the watch after it used one connection, and objects of a watch were applied whatever their index was.

Change: each request to discovery has a connection of its own. On one watch, an object with a lower index than one before it is logged and left out. The first object of a connection may have a lower index, as a reset discovery sends one.

Evidence: three of the four new tests in tests/http/test_staleness.py failed before, the fourth holds the reset.

--- a/kestrelspar/http/watch.py
+++ b/kestrelspar/http/watch.py
@@ -67,6 +67,7 @@
         self._headers_timed_out = False  # the last connection timed out before its response headers
         self._refusal_status: int | None = None  # of the last request, if it was refused
         self._has_snapshot = False  # a complete list was received or loaded, to which changes can be applied
+        self._is_first_object = True  # no object has been applied yet from the connection
         self._stream: Stream | None = None
         self._unreadable = ""  # the last text that could not be parsed; its repetitions are not logged
         self._move_count = 0
@@ -192,17 +193,13 @@
         could not be used.
         """
         received, last_activity, move_count, self._refusal_status = False, 0, self._move_count, None
-        sock = connect(self.loop, self.discovery, self.loop.now + CONNECT_TIMEOUT)
-        if sock is None:
+        if not self._has_snapshot and not self.index and not self._read_snapshot():
             return False
-        stream = Stream(self.loop, sock, self.buffers)
-        if move_count != self._move_count:
-            stream.close()
+        stream = self._connect()
+        if stream is None:
             return False
-        self._stream = stream
+        self._is_first_object = True
         try:
-            if not self._has_snapshot and not self.index and not self._request_snapshot(stream):
-                return False
             target = f"/registry/instances?watch=1&after={self.index}"
             deadline = self.loop.now + self._backoff.response_timeout
             stream.write(parser.request("GET", target, "app.svc", {}), deadline)
@@ -246,8 +243,38 @@
         finally:
             stream.close()
 
-    def _request_snapshot(self, stream: Stream) -> bool:
+    def _connect(self) -> Stream | None:
+        """A new connection to discovery; None if that failed or the address changed.
+
+        Each request has a connection of its own: a late copy of a response would otherwise be read as the next one.
+        """
+        move_count = self._move_count
+        sock = connect(self.loop, self.discovery, self.loop.now + CONNECT_TIMEOUT)
+        if sock is None:
+            return None
+        stream = Stream(self.loop, sock, self.buffers)
+        if move_count != self._move_count:
+            stream.close()
+            return None
+        self._stream = stream
+        return stream
+
+    def _read_snapshot(self) -> bool:
         """Requests the complete list, as changes after index 0 may be too few; returns whether it was applied."""
+        stream = self._connect()
+        if stream is None:
+            return False
+        try:
+            return self._request_snapshot(stream)
+        except DeadlineExceededError:
+            self._headers_timed_out = True
+            return False
+        except (ConnectionClosedError, parser.MalformedMessageError):
+            return False
+        finally:
+            stream.close()
+
+    def _request_snapshot(self, stream: Stream) -> bool:
         deadline = self.loop.now + self._backoff.response_timeout
         stream.write(parser.request("GET", "/registry/instances", "app.svc", {}), deadline)
         head = parser.read_head(stream, deadline, response=True)
@@ -257,6 +284,7 @@
         if head.status != 200:
             self._refusal_status = head.status
             return False
+        self._is_first_object = True
         return self._handle_line(body)
 
     def _handle_line(self, text: bytes) -> bool:
@@ -280,9 +308,21 @@
         except ValueError as error:
             self._log_unreadable(str(error), f"{text!r:.160}")
             return False
+        if self._is_outdated(raw):
+            logs.warn("map-outdated-object", source=SOURCE, revision=self.index, got=raw.get("index"))
+            return True
+        self._is_first_object = False
         self.apply(raw)
         return isinstance(raw, dict) and isinstance(raw.get("endpoints"), list)
 
+    def _is_outdated(self, raw: Any) -> bool:
+        """Whether an object is older than what its connection has brought already, as a late copy is.
+
+        The first object of a connection may have a lower index: discovery may have been reset.
+        """
+        index = raw.get("index") if isinstance(raw, dict) else None
+        return not self._is_first_object and isinstance(index, int) and index < self.index
+
     def _mark_current(self) -> None:
         """Marks the list as current, ``CATCH_UP_TIME`` after a reconnect, unless the watch is broken at that time.
 
--- a/tests/http/test_staleness.py
+++ b/tests/http/test_staleness.py
@@ -231,3 +231,40 @@
         peer.streams[-1].sock.send(chunk(b"\n"))
         testbed.run_for(SECOND)
     assert b" 422 " in testbed.talk(unknown)
+
+
+def test_a_copied_list_is_not_read_as_the_answer_to_the_watch(tmp_path: Path) -> None:
+    listed = json.dumps({"index": 4, "snapshot": True, "endpoints": [ROW]}).encode()
+
+    def discovery(head: parser.Head, _: bytes) -> bytes:
+        if "watch" not in head.start_line[1]:
+            return parser.response(200, listed) * 2
+        return HEAD + chunk(json.dumps(list_update(5, "leaving")).encode() + b"\n")
+
+    testbed = HttpTestbed(tmp_path, ok, discovery)
+    watch = make_watch(testbed.courier, testbed)
+    testbed.loop.spawn(watch.run)
+    testbed.run_until(lambda: watch.index == 5)
+    assert len(testbed.platform.seen) == testbed.platform.connections == 2
+    assert testbed.courier.map.hops[b"s-9"].endpoint.state.name == "DRAINING"
+
+
+@pytest.mark.parametrize("snapshot", [True, False])
+def test_an_older_object_on_the_same_watch_changes_nothing(tmp_path: Path, snapshot: bool) -> None:
+    # Guards against a call to a draining endpoint after a late copy of an earlier object of the watch.
+    lines = [list_update(2), list_update(3, "leaving"), list_update(2, snapshot=snapshot), list_update(4, group=5)]
+    answers = [HEAD + b"".join(chunk(json.dumps(line).encode() + b"\n") for line in lines[:3])]
+    testbed, watch = start_watch(tmp_path, lambda *_: answers.pop() if answers else None)
+    testbed.run_until(lambda: watch.index == 3)
+    testbed.run_for(10 * MS)
+    assert testbed.courier.map.hops[b"s-9"].endpoint.state.name == "DRAINING" and watch.index == 3
+    testbed.platform.streams[-1].sock.send(chunk(json.dumps(lines[3]).encode() + b"\n"))
+    testbed.run_until(lambda: watch.index == 4)
+    assert len(testbed.platform.seen) == 1
+
+
+def test_a_reset_discovery_may_begin_a_new_watch_with_a_lower_index(tmp_path: Path) -> None:
+    answers = [HEAD + chunk(json.dumps(list_update(n, snapshot=True)).encode() + b"\n") for n in (2, 9)]
+    testbed, watch = start_watch(tmp_path, lambda *_: answers.pop() + b"0\r\n\r\n" if answers else None)
+    testbed.run_until(lambda: watch.index == 9)
+    testbed.run_until(lambda: watch.index == 2)
