SMPP: a request that was never written resumes its task once, so that no slot is lost

Cause: Session.request registered the request before it was written, so Session.close resumed its task once for the lost response, besides the failed write. The task had gone on to wait for its message's next action and took the surplus resume for that; the decision module waited for the call's outcome for good.

Change: a request is registered once it has been written, so an earlier response belongs to none. The class of fault ends in the loop: a resume reaches a task only while it is parked on that very suspension; one that comes before is kept for it.

--- a/kestrelspar/runtime/loop.py
+++ b/kestrelspar/runtime/loop.py
@@ -46,17 +46,23 @@
 
 
 class Suspension:
-    """A suspension of the task that creates it; only the first ``resume`` has an effect."""
+    """A suspension of the task that creates it; only the first ``resume`` has an effect.
 
-    __slots__ = ("_loop", "_task", "resumed")
+    A task that is resumed before it parks does not wait. A task that never parks on the suspension is not affected.
+    """
+
+    __slots__ = ("_loop", "_task", "parked", "resumed", "value")
 
     def __init__(self, loop: Loop) -> None:
-        self._loop, self._task, self.resumed = loop, getcurrent(), False
+        self._loop, self._task, self.resumed, self.parked = loop, getcurrent(), False, False
+        self.value: Any = None  # given to ``resume``
 
     def resume(self, value: Any = None) -> None:
         """Resume the task; its ``Loop.park`` returns this value."""
-        if not self.resumed:
-            self.resumed = True
+        if self.resumed:
+            return
+        self.resumed, self.value = True, value
+        if self.parked:
             self._loop.schedule(self._task, value)
 
 
@@ -102,6 +108,9 @@
 
     def park(self, suspension: Suspension, deadline: int | None = None) -> Any:
         """Suspend the current task until it is resumed; returns the value given, or ``TIMED_OUT`` at the deadline."""
+        if suspension.resumed:
+            return suspension.value
+        suspension.parked = True
         timer = self.call_at(deadline, lambda: suspension.resume(TIMED_OUT)) if deadline is not None else None
         value = self._scheduler.switch()
         if timer is not None:
--- a/kestrelspar/smpp/session.py
+++ b/kestrelspar/smpp/session.py
@@ -125,7 +125,7 @@
         Called from ``handle``, in the reading task. Impossible if bytes beyond the PDU have been read, if requests are
         in flight, or if the session is closed.
         """
-        if self._received or self._pending or self.closed:
+        if self._received or self.in_flight or self.closed:
             return False
         self.closed = True  # so that this session no longer closes the connection
         return True
@@ -151,10 +151,10 @@
         """
         pdu.sequence = self.next_sequence()
         waiting = Suspension(self.loop)
-        self._pending[pdu.sequence] = waiting
         self.in_flight += 1
         try:
             self._write(p.encode(pdu), deadline)
+            self._pending[pdu.sequence] = waiting  # a response that came earlier belongs to no request
             response = self.loop.park(waiting, deadline)
         finally:
             self._pending.pop(pdu.sequence, None)
