SMPP: a late response is read as one of the gateway that sent it, and each part is waited for

Cause: SmppCarrier._earlier_result read a late response with the gateway of the next attempt, so ids were awaited, queried and cancelled at the wrong gateway.

Change: TimedOutSubmits knows its gateway, and all_ended follows the number in flight.

--- a/kestrelspar/smpp/client.py
+++ b/kestrelspar/smpp/client.py
@@ -38,18 +38,22 @@
 class TimedOutSubmits:
     """The submits of one delivery attempt that timed out: in flight until a late response or the end of the session."""
 
-    def __init__(self, deadline: int, part_count: int = 1) -> None:
+    def __init__(self, gateway: Gateway, deadline: int, part_count: int = 1) -> None:
+        self.gateway = gateway  # that the submits were sent to; its settings tell what a response means
         self.deadline = deadline  # of the message; no attempt is made after it
         self.part_count = part_count  # submits of the attempt: one for each part of the message
         self.in_flight = 0
-        self.all_ended = False  # true once ``in_flight`` has been down to 0
         self.late_response: Pdu | None = None
         self.waiting: Suspension | None = None  # the next attempt of the message, which waits until all have ended
 
+    @property
+    def all_ended(self) -> bool:
+        """Whether none is in flight any more."""
+        return self.in_flight <= 0
+
     def record_late_response(self, response: Pdu | None) -> None:
         """Record the late response to one of the submits, or None if its session has ended without one."""
         self.in_flight -= 1
-        self.all_ended = self.in_flight <= 0
         # The response to one part of several says nothing about the other parts.
         self.late_response = response if self.part_count == 1 else None
         if self.all_ended and self.waiting is not None:
@@ -143,10 +147,10 @@
         except ValueError as error:
             logs.warn("smpp-unsendable", trace=message.trace, hop=gateway.name, why=str(error))
             return Result(Outcome.MOOT, note="message does not fit into a submit_sm")
-        earlier_result = self._earlier_result(message, deadline, gateway)
+        earlier_result = self._earlier_result(message, deadline)
         if earlier_result is not None:
             return earlier_result
-        unresolved = TimedOutSubmits(message.deadline, len(requests))
+        unresolved = TimedOutSubmits(gateway, message.deadline, len(requests))
         # The first part is sent alone, so that nothing has run if the gateway refuses it.
         first = self._submit(message, link, requests[0], deadline, guard, unresolved)
         if len(requests) == 1 or first.outcome is not Outcome.OK:
@@ -251,24 +255,24 @@
             return dataclasses.replace(result, outcome_source=(SmppCarrier.name, awaits))
         return result
 
-    def _earlier_result(self, message: Message, deadline: int, gateway: Gateway) -> Result | None:
+    def _earlier_result(self, message: Message, deadline: int) -> Result | None:
         """The result of this attempt as decided by an earlier one that timed out; None if the message may be sent.
 
         Two attempts of a message must not run at once, so this attempt waits while the earlier one is in flight on an
         open session. This attempt is unnecessary if a late response shows that the earlier one ran, or may have run:
-        then that response, read by the settings of ``gateway``, is its result. At the deadline the result is MOOT.
+        then that response, read by the settings of the gateway that sent it, is its result. At the deadline the result is MOOT.
         """
         unresolved = self._unresolved.get(message.number)
         if unresolved is None:
             return None
-        if not unresolved.all_ended:
+        while not unresolved.all_ended:
             unresolved.waiting = Suspension(self.loop)
             if self.loop.park(unresolved.waiting, deadline) is TIMED_OUT:
                 return Result(Outcome.MOOT, note="an earlier attempt is still in flight")
         del self._unresolved[message.number]
         if unresolved.late_response is None:
             return None
-        result = self._result(gateway, unresolved.late_response)
+        result = self._result(unresolved.gateway, unresolved.late_response)
         return None if result.outcome in NEVER_RAN else result
 
     # Outcomes by receipt
--- a/tests/smpp/test_session.py
+++ b/tests/smpp/test_session.py
@@ -4,14 +4,11 @@
 
 import socket
 
-import pytest
-
 from kestrelspar.runtime.buffers import BufferPool, DeadlineExceededError, Stream
 from kestrelspar.runtime.loop import MS, SECOND, Suspension
 from kestrelspar.smpp import pdu as p
 from kestrelspar.smpp.pdu import Command, Pdu
 from kestrelspar.smpp.session import NotSentError, Session, SessionLostError
-from kestrelspar.smpp.table import SessionState
 from tests.bench import CLOCK, SkippingLoop
 
 SEND_BUFFER_BYTES = 4_096
--- a/tests/test_smpp.py
+++ b/tests/test_smpp.py
@@ -15,7 +15,7 @@
 from kestrelspar.runtime.loop import MS, SECOND, connect
 from kestrelspar.settings.resolve import Gateway
 from kestrelspar.smpp import pdu as p
-from kestrelspar.smpp.client import SmppCarrier
+from kestrelspar.smpp.client import SmppCarrier, TimedOutSubmits
 from kestrelspar.smpp.inbound import InboundMessages
 from kestrelspar.smpp.pdu import Command, Pdu, Status
 from kestrelspar.smpp.server import SmppServer, parse_time
@@ -178,6 +178,34 @@
     assert gate.effects == {b"RD-0": 1, b"PAY-0": 1} and gate.concurrent_copies == 0
 
 
+def test_a_late_response_is_read_as_one_of_the_gateway_that_sent_it(tmp_path: Path) -> None:
+    # Guards against awaiting, querying and cancelling a message at a gateway that numbers another message so.
+    testbed = SmppTestbed(tmp_path)
+    slow = StandInGateway(testbed, pause=lambda pdu: 500 * MS if pdu.message == b"RD-0" else 350 * MS)
+    standby = StandInGateway(testbed)
+    slow.message_id_for = lambda pdu: pdu.message.decode()
+    testbed.open(
+        gateway(slow.address, "slow", outcome="receipt", rank=0),
+        gateway(standby.address, "standby", outcome="receipt", rank=1),
+    )
+    contractor = testbed.contractor()
+    submit_all(testbed, contractor, "RD", 1)
+    testbed.run_for(200 * MS)
+    submit_one(testbed, contractor, b"PAY-0", "PAY")  # its response keeps the session open beyond the time-out
+    testbed.run_until(lambda: len(testbed.courier._awaiting) == 2)
+    awaited = {awaits["ids"][0]: awaits["gate"] for _, _, awaits in testbed.courier._awaiting.values()}
+    assert awaited == {"RD-0": "slow", "PAY-0": "slow"} and not standby.submits
+
+
+def test_a_part_that_times_out_after_a_late_response_to_another_is_still_in_flight() -> None:
+    unresolved = TimedOutSubmits(gateway(("127.0.0.1", 1)), 0, part_count=2)
+    unresolved.in_flight += 1
+    unresolved.record_late_response(None)
+    assert unresolved.all_ended
+    unresolved.in_flight += 1
+    assert not unresolved.all_ended
+
+
 @pytest.mark.parametrize("service", ["RD", "PAY"])
 def test_a_permanent_rejection_is_not_retried(tmp_path: Path, service: str) -> None:
     testbed = SmppTestbed(tmp_path)
