A message whose call is still out goes to no next hop, over whichever protocol

Cause: after a time-out a submit can't be withdrawn. Only SmppCarrier.attempt knew of it and waited; other carriers of the same destination did not.

Change: the result of an attempt names a call that is still out, and the courier waits for it before the next attempt, whichever next hop that goes to. The carrier keeps no table of its own. An attempt that is not made is logged with its reason.

--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 import traceback
 import zlib
@@ -107,6 +108,17 @@
 ACCEPTED = Answer(True)
 
 
+class OutstandingCall(Protocol):
+    """A call that timed out and can't be withdrawn: it may still run, and be answered on its open connection."""
+
+    def wait(self, deadline: int) -> Result | None:
+        """Wait until the call is no longer out, at most until ``deadline``, in microseconds of the loop's clock.
+
+        Returns the call's result if a late response shows that it ran or may have run, MOOT at the deadline, and
+        None if the message may be sent again.
+        """
+
+
 @dataclass(frozen=True, slots=True)
 class Result:
     """How a delivery attempt ended."""
@@ -118,6 +130,7 @@
     report: tuple[float, ...] = ()  # load report of the endpoint, in the order of ``Settings.columns``; empty: none
     note: str = ""
     queued: int = 0  # microseconds in a queue before the first byte, excluded from the latency of the call
+    outstanding: OutstandingCall | None = None  # the call, if it is still out after its time-out
     # Microseconds for which the connection had rested since its last call; None: this was its first call.
     rested: int | None = None
     # With OK, if the next hop has only accepted the message and its outcome follows: the name of the outcome source in
@@ -339,7 +352,7 @@
         ``attempts``, ``maybe_since_ns``: number of earlier attempts, and the time at which the first of them that may
         have run was sent (None: none of them can have run). ``recovered``: it was accepted before a restart.
         """
-        attempt_index = attempts
+        attempt_index, outstanding = attempts, None
         if message.start > self.loop.now:
             suspension = self._parked[message.number] = Suspension(self.loop)
             if self.loop.park(suspension, message.start) is _WITHDRAW:
@@ -356,8 +369,8 @@
         while isinstance(action, api.Send):
             if self.closing is not None and self.loop.now - self.closing > LAST_ATTEMPT_START:
                 return  # still in the journal: the next process resumes it
-            result, latency = self._attempt(message, action, attempt_index)
-            attempt_index += 1
+            result, latency = self._attempt(message, action, attempt_index, outstanding)
+            attempt_index, outstanding = attempt_index + 1, result.outstanding
             action = self._next_action(
                 message.number,
                 api.AttemptEnded(
@@ -388,11 +401,19 @@
         after_ms = -(-action.retry_after_ns // (NS_PER_US * MS)) if isinstance(action, api.Refuse) else 0
         self._end(message, End(RETURNED if isinstance(action, api.Refuse) else FAILED, after_ms))
 
-    def _attempt(self, message: Message, action: api.Send, attempt_index: int) -> tuple[Result, int]:
+    def _attempt(
+        self, message: Message, action: api.Send, attempt_index: int, outstanding: OutstandingCall | None
+    ) -> tuple[Result, int]:
         """Make one delivery attempt, journalled before its first byte is sent.
 
         Returns its result, which is MOOT if the next hop has left the map, and its latency in microseconds.
+        ``outstanding``: the attempt before, if its call is still out. It is waited for, whichever next hop comes next,
+        as two attempts of a message must not run at once.
         """
+        if outstanding is not None:
+            earlier_result = self._await_outstanding(message, action, attempt_index, outstanding)
+            if earlier_result is not None:
+                return earlier_result, 0
         hop, started = self.map.hops.get(action.endpoint), self.loop.now
         if hop is None:
             return Result(Outcome.MOOT), 0
@@ -440,6 +461,33 @@
             )
         return result, max(0, self.loop.now - started - result.queued)
 
+    def _await_outstanding(
+        self, message: Message, action: api.Send, attempt_index: int, outstanding: OutstandingCall
+    ) -> Result | None:
+        """Wait for a call that is still out.
+
+        Returns None if the next attempt may be made, and else the result that stands for it.
+        """
+        self.attempts_in_flight += 1
+        try:
+            result = outstanding.wait(min(message.deadline, self.loop.now + action.timeout_ns // NS_PER_US))
+        finally:
+            self.attempts_in_flight -= 1
+        if result is None:
+            if self.closing is None or self.loop.now - self.closing <= LAST_ATTEMPT_START:
+                return None
+            result = Result(Outcome.MOOT, note="shutting down")
+        elif result.outcome is Outcome.MOOT:
+            result = dataclasses.replace(result, outstanding=outstanding)
+        logs.event(
+            "attempt-not-made",
+            trace=message.trace,
+            n=attempt_index,
+            outcome=result.outcome.name.lower(),
+            note=result.note or "a late response ended the attempt before",
+        )
+        return result
+
     def _spend(self, endpoint: api.EndpointId, attempt_index: int) -> bool:
         """Take a call that is about to be sent from the shared budget, where there is one."""
         return self.peers is None or self.peers.spend_budget(endpoint, attempt_index > 0)
--- a/kestrelspar/smpp/client.py
+++ b/kestrelspar/smpp/client.py
@@ -36,28 +36,51 @@
 
 
 class TimedOutSubmits:
-    """The submits of one delivery attempt that timed out: in flight until a late response or the end of the session."""
+    """The submits of one delivery attempt that timed out: in flight until a late response or the end of the session.
 
-    def __init__(self, gateway: Gateway, deadline: int, part_count: int = 1) -> None:
+    A ``courier.OutstandingCall``.
+    """
+
+    def __init__(self, loop: Loop, gateway: Gateway, part_count: int = 1) -> None:
+        self._loop = loop
         self.gateway = gateway  # that the submits were sent to; its settings tell what a response means
-        self.deadline = deadline  # of the message; no attempt is made after it
         self.part_count = part_count  # submits of the attempt: one for each part of the message
         self.in_flight = 0
+        self.has_timed_out = False  # for at least one submit
         self.late_response: Pdu | None = None
-        self.waiting: Suspension | None = None  # the next attempt of the message, which waits until all have ended
+        self._waiting: Suspension | None = None  # the next attempt of the message, which waits until all have ended
 
     @property
     def all_ended(self) -> bool:
         """Whether none is in flight any more."""
         return self.in_flight <= 0
 
+    def record_timeout(self) -> None:
+        """Record a submit that timed out and that may still be answered."""
+        self.in_flight += 1
+        self.has_timed_out = True
+
     def record_late_response(self, response: Pdu | None) -> None:
         """Record the late response to one of the submits, or None if its session has ended without one."""
         self.in_flight -= 1
         # The response to one part of several says nothing about the other parts.
         self.late_response = response if self.part_count == 1 else None
-        if self.all_ended and self.waiting is not None:
-            self.waiting.resume()
+        if self.all_ended and self._waiting is not None:
+            self._waiting.resume()
+
+    def wait(self, deadline: int) -> Result | None:
+        """Wait until no submit is in flight: see ``courier.OutstandingCall``.
+
+        A late response is read by the settings of the gateway that sent it.
+        """
+        while not self.all_ended:
+            self._waiting = Suspension(self._loop)
+            if self._loop.park(self._waiting, deadline) is TIMED_OUT:
+                return Result(Outcome.MOOT, note="an earlier attempt is still in flight")
+        if self.late_response is None:
+            return None
+        result = SmppCarrier._result(self.gateway, self.late_response)
+        return None if result.outcome in NEVER_RAN else result
 
 
 class InboundHandler(Protocol):
@@ -106,7 +129,6 @@
             )
             link.needs_receiving = self._receiving_predicate(gateway)
             self._links[gateway.name.encode()] = link
-        self._unresolved: dict[int, TimedOutSubmits] = {}  # by message number: its last attempt, if it timed out
         self._tracker = receipts.ReceiptTracker()
 
     def _receiving_predicate(self, gateway: Gateway) -> Callable[[], bool]:
@@ -147,12 +169,22 @@
         except ValueError as error:
             logs.warn("smpp-unsendable", trace=message.trace, hop=gateway.name, why=str(error))
             return Result(Outcome.MOOT, note="message does not fit into a submit_sm")
-        earlier_result = self._earlier_result(message, deadline)
-        if earlier_result is not None:
-            return earlier_result
-        unresolved = TimedOutSubmits(gateway, message.deadline, len(requests))
+        timed_out = TimedOutSubmits(self.loop, gateway, len(requests))
+        result = self._submit_all(message, link, requests, deadline, guard, timed_out)
+        return dataclasses.replace(result, outstanding=timed_out) if timed_out.has_timed_out else result
+
+    def _submit_all(
+        self,
+        message: Message,
+        link: Link,
+        requests: list[Pdu],
+        deadline: int,
+        guard: SendGuard,
+        timed_out: TimedOutSubmits,
+    ) -> Result:
+        """Send the parts of a message, and return the outcome of all."""
         # The first part is sent alone, so that nothing has run if the gateway refuses it.
-        first = self._submit(message, link, requests[0], deadline, guard, unresolved)
+        first = self._submit(message, link, requests[0], deadline, guard, timed_out)
         if len(requests) == 1 or first.outcome is not Outcome.OK:
             return first
         results: list[Result | None] = [first, *[None] * (len(requests) - 1)]
@@ -165,7 +197,7 @@
 
         def send_part(index: int) -> None:
             try:
-                results[index] = self._submit(message, link, requests[index], deadline, may_continue, unresolved)
+                results[index] = self._submit(message, link, requests[index], deadline, may_continue, timed_out)
             finally:
                 if results[index] is None:
                     results[index] = Result(Outcome.ERROR, note="internal error")
@@ -184,7 +216,7 @@
         request: Pdu,
         deadline: int,
         guard: Callable[[], bool],
-        unresolved: TimedOutSubmits,
+        timed_out: TimedOutSubmits,
     ) -> Result:
         """Wait for a session with room, send one submit_sm, and return its outcome."""
         started_at, timeout = self.loop.now, max(0, deadline - self.loop.now)
@@ -200,7 +232,7 @@
             # Other messages may have been throttled while this one waited for a bind or for a session with room.
             if not guard():
                 return Result(Outcome.MOOT, note="barred meanwhile", queued=waited)
-            return dataclasses.replace(self._send(message, link, bound, request, deadline, unresolved), queued=waited)
+            return dataclasses.replace(self._send(message, link, bound, request, deadline, timed_out), queued=waited)
         finally:
             link.release(bound)
 
@@ -211,13 +243,13 @@
         bound: BoundSession,
         request: Pdu,
         deadline: int,
-        unresolved: TimedOutSubmits,
+        timed_out: TimedOutSubmits,
     ) -> Result:
         """Send one submit_sm on a session, and return its outcome."""
         gateway, sent = link.gateway, self.loop.now
         try:
             response = bound.session.request(
-                request, min(deadline, sent + gateway.response_timeout), unresolved.record_late_response
+                request, min(deadline, sent + gateway.response_timeout), timed_out.record_late_response
             )
         except NotSentError:
             return Result(Outcome.CONNECT_FAILED, note="broke before the last byte")
@@ -226,11 +258,7 @@
         except DeadlineExceededError:
             # SMPP cannot withdraw a submit in flight. The session is drained rather than closed, as other requests on
             # it still need their responses.
-            self._unresolved = {
-                number: earlier for number, earlier in self._unresolved.items() if earlier.deadline > self.loop.now
-            }
-            self._unresolved[message.number] = unresolved
-            unresolved.in_flight += 1
+            timed_out.record_timeout()
             bound.window.record_loss(self.loop.now)
             bound.session.drain()
             return Result(Outcome.TIMEOUT)
@@ -255,26 +283,6 @@
             return dataclasses.replace(result, outcome_source=(SmppCarrier.name, awaits))
         return result
 
-    def _earlier_result(self, message: Message, deadline: int) -> Result | None:
-        """The result of this attempt as decided by an earlier one that timed out; None if the message may be sent.
-
-        Two attempts of a message must not run at once, so this attempt waits while the earlier one is in flight on an
-        open session. This attempt is unnecessary if a late response shows that the earlier one ran, or may have run:
-        then that response, read by the settings of the gateway that sent it, is its result. At the deadline the result is MOOT.
-        """
-        unresolved = self._unresolved.get(message.number)
-        if unresolved is None:
-            return None
-        while not unresolved.all_ended:
-            unresolved.waiting = Suspension(self.loop)
-            if self.loop.park(unresolved.waiting, deadline) is TIMED_OUT:
-                return Result(Outcome.MOOT, note="an earlier attempt is still in flight")
-        del self._unresolved[message.number]
-        if unresolved.late_response is None:
-            return None
-        result = self._result(unresolved.gateway, unresolved.late_response)
-        return None if result.outcome in NEVER_RAN else result
-
     # Outcomes by receipt
 
     def expect(self, message: Message, awaits: dict[str, Any]) -> None:
--- a/tests/smpp/test_parts.py
+++ b/tests/smpp/test_parts.py
@@ -17,6 +17,7 @@
 from kestrelspar.smpp.client import TimedOutSubmits
 from kestrelspar.smpp.parts import InvalidPartError, Part, PartDisposition, Reassembler
 from kestrelspar.smpp.pdu import Command, Pdu, State, Status
+from tests.bench import CLOCK, SkippingLoop
 from tests.smpp.test_operations import exchange, query_state, retain_ended
 from tests.smpp_standins import StandInContractor, StandInGateway, gateway
 from tests.test_smpp import SmppTestbed
@@ -419,8 +420,9 @@
 
 
 def test_an_attempt_in_parts_ends_with_its_last_late_response() -> None:
-    timed_out = TimedOutSubmits(SECOND, 3)
-    timed_out.in_flight = 2
+    timed_out = TimedOutSubmits(SkippingLoop(CLOCK), gateway(("127.0.0.1", 1)), part_count=3)
+    timed_out.record_timeout()
+    timed_out.record_timeout()
     timed_out.record_late_response(Pdu(Command.SUBMIT_SM_RESP))
     assert not timed_out.all_ended
     timed_out.record_late_response(None)
--- a/tests/test_smpp.py
+++ b/tests/test_smpp.py
@@ -19,7 +19,7 @@
 from kestrelspar.smpp.inbound import InboundMessages
 from kestrelspar.smpp.pdu import Command, Pdu, Status
 from kestrelspar.smpp.server import SmppServer, parse_time
-from tests.bench import READING, CourierTestbed, listener
+from tests.bench import CLOCK, READING, CourierTestbed, SkippingLoop, listener
 from tests.smpp_standins import CLOSE_STEPS, StandInContractor, StandInGateway, gateway, smpp_config
 
 DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=80)
@@ -198,12 +198,12 @@
 
 
 def test_a_part_that_times_out_after_a_late_response_to_another_is_still_in_flight() -> None:
-    unresolved = TimedOutSubmits(gateway(("127.0.0.1", 1)), 0, part_count=2)
-    unresolved.in_flight += 1
-    unresolved.record_late_response(None)
-    assert unresolved.all_ended
-    unresolved.in_flight += 1
-    assert not unresolved.all_ended
+    timed_out = TimedOutSubmits(SkippingLoop(CLOCK), gateway(("127.0.0.1", 1)), part_count=2)
+    timed_out.record_timeout()
+    timed_out.record_late_response(None)
+    assert timed_out.all_ended
+    timed_out.record_timeout()
+    assert not timed_out.all_ended
 
 
 @pytest.mark.parametrize("service", ["RD", "PAY"])
