SMPP: a recovering rate is bounded, so that no attempt fails 12 minutes after a throttled burst

Cause: RateControl._update_rate computed 2.0 ** (time / 0.7 s) without a bound.

Change: the rate grows to MAX_RATE at the most, and so does the cubic curve.

Evidence: test_a_rate_that_recovers_from_one_refusal_in_a_burst_stays_finite_for_days failed before.

--- a/kestrelspar/smpp/flow_control.py
+++ b/kestrelspar/smpp/flow_control.py
@@ -32,6 +32,7 @@
 # rate is as far above the ceiling as it began below it.
 RECOVERY_TIME = 3 * SECOND
 DOUBLING_TIME = 700_000  # time in which the rate doubles while the ceiling is uncertain
+MAX_RATE = 1e6  # submits per second; a recovering rate grows no further
 MIN_RATE = 0.5  # submits per second; a lower rate would not show that a limit no longer applies
 # Values of congestion_state: 80 to 89 is optimum load, 90 and above congestion (SMPP 5.0, 4.8.4.18).
 CONGESTED, OPTIMUM_LOAD = 90, 80
@@ -132,11 +133,11 @@
             return
         progress = (now - self._recovery_start) / RECOVERY_TIME
         if self._ceiling_uncertain:
-            self.rate = self._recovery_rate * 2.0 ** (progress * RECOVERY_TIME / DOUBLING_TIME)
+            doublings = min(progress * RECOVERY_TIME / DOUBLING_TIME, math.log2(MAX_RATE))
+            self.rate = self._recovery_rate * 2.0**doublings
         else:
             self.rate = self.ceiling + (self.ceiling - self._recovery_rate) * (progress - 1.0) ** 3
-        if self.max_rate:
-            self.rate = min(self.rate, self.max_rate)
+        self.rate = min(self.rate, self.max_rate or MAX_RATE)
 
     def record_response(self, now: int, sent: int, throttled: bool, retry_after: int = 0) -> bool:
         """Adapt to the response to a submit sent at ``sent``; ``retry_after`` applies if it was throttled.
--- a/tests/smpp/test_flow_control.py
+++ b/tests/smpp/test_flow_control.py
@@ -15,6 +15,21 @@
 from tests.smpp_standins import StandInGateway, gateway
 from tests.test_smpp import SmppTestbed, submit_all
 
+
+def test_a_rate_that_recovers_from_one_refusal_in_a_burst_stays_finite_for_days() -> None:
+    # Guards against an OverflowError in each attempt from 12 minutes after a throttled burst on.
+    control = RateControl()
+    control.earliest_send(0)
+    control.record_response(100 * MS, 0, throttled=False)
+    control.record_response(200 * MS, 100 * MS, throttled=True, retry_after=100 * MS)
+    previous = 0.0
+    for after in (1, 10, 60, 600, 716, 720, 3_600, 86_400, 30 * 86_400):
+        now = after * SECOND
+        assert control.earliest_send(now) <= now and previous <= control.rate < float("inf")
+        previous = control.rate
+        control.record_sent(now)
+
+
 Limiter = Callable[[int], bool]  # whether a gateway serves a submit at this time
 
 
