SMPP: the receipt of a message with a long address goes out as data_sm

Cause: a receipt was always a deliver_sm, whose addresses have 20 characters at most; ValueError ended its task.

Change: such a receipt is a data_sm with the text as message_payload; a client that sends data_sm knows it.

Evidence: test_a_message_with_an_address_too_long_for_deliver_sm_gets_its_receipt failed before in both cases.

--- a/kestrelspar/smpp/pdu.py
+++ b/kestrelspar/smpp/pdu.py
@@ -206,6 +206,7 @@
 SM_FIELDS = tuple(name for name, _ in _SM_LAYOUT)
 DATA_FIELDS = tuple(name for name, _ in _DATA_LAYOUT)
 _SM_STRINGS = frozenset(name for name, max_length in _SM_LAYOUT if max_length)
+MAX_SHORT_ADDRESS = 20  # characters of an address in any PDU but data_sm and alert_notification
 MAX_BODY_BYTES, MAX_TLV_BYTES = 64 * 1024, 8 * 1024  # maximum bytes of a message body, and of its optional parameters
 
 
--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -815,7 +815,10 @@
         logs.warn("smpp-receipt-given-up", trace=message.trace, account=system_id)
 
     def _build_receipt(self, message: Message, end: End, expired: bool) -> Pdu:
-        """The deliver_sm that reports the final state of a message."""
+        """The PDU that reports the final state of a message.
+
+        A data_sm if an address is too long for a deliver_sm, as after a data_sm of the client, else a deliver_sm.
+        """
         submitted_fields = message.extra["smpp"]
         number, stat = status_codes.receipt_state(end, expired)
         submitted = datetime.fromtimestamp(message.extra.get("submitted", 0), UTC)
@@ -837,6 +840,9 @@
             "destination_addr": submitted_fields["source_addr"],
             "esm_class": 4,
         }
+        longest_address = max(len(fields["source_addr"]), len(fields["destination_addr"]))
+        if longest_address > p.MAX_SHORT_ADDRESS:
+            return Pdu(Command.DATA_SM, fields=fields, tlvs=[*tlvs, (p.MESSAGE_PAYLOAD, text.encode())])
         return Pdu(Command.DELIVER_SM, fields=fields, message=text.encode(), tlvs=tlvs)
 
     def shut_down(self) -> None:
--- a/tests/smpp/test_operations.py
+++ b/tests/smpp/test_operations.py
@@ -134,6 +134,35 @@
     assert served(Side.CENTRE, Command.OUTBIND) == {"OPEN"}  # gateways connect to the same listener
 
 
+@pytest.mark.parametrize("long_address", ["source_addr", "destination_addr"])
+def test_a_message_with_an_address_too_long_for_deliver_sm_gets_its_receipt(tmp_path: Path, long_address: str) -> None:
+    testbed = SmppTestbed(tmp_path)
+    testbed.open(gateway(StandInGateway(testbed).address))
+    contractor = testbed.contractor()
+    addresses = {"source_addr": "100", "destination_addr": "3725550"}
+    addresses[long_address] += "0" * 30
+    answer = exchange(
+        testbed,
+        contractor,
+        Command.DATA_SM,
+        tlvs=[(p.MESSAGE_PAYLOAD, b"long")],
+        service_type="RD",
+        registered_delivery=1,
+        **addresses,
+    )
+    assert answer.status == 0
+    testbed.run_until(lambda: contractor.answers[-1].command is Command.DATA_SM)
+    receipt = contractor.answers[-1]
+    assert receipt.tlv(p.RECEIPTED_MESSAGE_ID) == answer.text("message_id").encode() + b"\0"
+    assert receipt.tlv(p.MESSAGE_STATE) in (bytes([State.REJECTED]), bytes([State.UNDELIVERABLE]))
+    assert (receipt.text("source_addr"), receipt.text("destination_addr")) == (
+        addresses["destination_addr"],
+        addresses["source_addr"],
+    )
+    contractor.stream.write(p.encode(receipt.reply()), None)
+    testbed.run_until(lambda: not testbed.journal.entries)
+
+
 def test_data_sm_is_a_message_like_any_other(tmp_path: Path) -> None:
     testbed = SmppTestbed(tmp_path)
     gate = StandInGateway(testbed)
