--- a/kestrelspar/journal/read.py
+++ b/kestrelspar/journal/read.py
@@ -15,9 +15,22 @@
 import ujson
 
 from kestrelspar.journal import records
-from kestrelspar.journal.records import ATTEMPT, AWAITS, CLOCK, DONE, ENDED, LIMIT, NOT_RUN, OUTAGE, TAKEN, VERDICT
+from kestrelspar.journal.records import (
+    ATTEMPT,
+    AWAITS,
+    BOOT,
+    CLOCK,
+    DONE,
+    ENDED,
+    LIMIT,
+    NOT_RUN,
+    OUTAGE,
+    TAKEN,
+    VERDICT,
+)
 
 KINDS = {
+    BOOT: "boot",
     CLOCK: "clock",
     TAKEN: "taken",
     ATTEMPT: "attempt",
@@ -127,7 +140,7 @@
         until, size = struct.unpack_from("<qI", payload)
         content.ended[payload[12 : 12 + size].decode()] = until, payload[12 + size :].decode()
         return offset
-    if kind == OUTAGE:
+    if kind in (OUTAGE, BOOT):
         return offset
     if kind == LIMIT:
         content.limits[payload[records.LIMIT_FIELDS.size :]] = records.LIMIT_FIELDS.unpack_from(payload)[1]
--- a/kestrelspar/journal/records.py
+++ b/kestrelspar/journal/records.py
@@ -2,8 +2,9 @@
 
 Layout of a record, little-endian: payload size in bytes (4 bytes), CRC-32 of all that follows it (4), kind (1), message
 number (8; 0 in records of no message), payload. Times in TAKEN and ATTEMPT records are microseconds of the monotonic
-clock of the process that wrote them; a CLOCK record has the offset from that clock to Unix time. Expiries and the times
-of outages are Unix microseconds. The payloads are described in docs/design/journal.md.
+clock of the process that wrote them; a CLOCK record has the offset from that clock to Unix time when the process was
+started, and a BOOT record the boot of the machine that the clock counts from. Expiries and the times of outages are
+monotonic times plus that offset. The payloads are described in docs/design/journal.md.
 """
 
 from __future__ import annotations
@@ -22,10 +23,10 @@
 # NOT_RUN: an attempt never ran, as its outcome proved; AWAITS: the next hop accepted the message, and its outcome
 # follows; VERDICT: the message's final state is decided; DONE: it needs no further report. ENDED: text retained on an
 # ended message. LIMIT and OUTAGE: rate limit and outage of an endpoint. LEFT: removals and drains, written only to the
-# files of removal_log.py.
+# files of removal_log.py. BOOT: boot of the machine of the CLOCK record that follows.
 CLOCK, TAKEN, ATTEMPT, NOT_RUN, VERDICT, DONE, ENDED, AWAITS, LIMIT, LEFT = range(1, 11)
-OUTAGE = 11
-KNOWN_KINDS = range(CLOCK, OUTAGE + 1)
+OUTAGE, BOOT = 11, 12
+KNOWN_KINDS = range(CLOCK, BOOT + 1)
 
 
 @dataclass(slots=True)
--- a/kestrelspar/journal/store.py
+++ b/kestrelspar/journal/store.py
@@ -9,13 +9,14 @@
 
 import os
 import struct
-import time
 from pathlib import Path
 
-from kestrelspar.journal import records
+from kestrelspar.journal import clock, records
+from kestrelspar.journal.clock import ClockReading, Conversion
 from kestrelspar.journal.records import (
     ATTEMPT,
     AWAITS,
+    BOOT,
     CLOCK,
     DONE,
     ENDED,
@@ -37,11 +38,9 @@
 # unchanged outage is written again when less than half of its retention is left.
 RETENTION, LIMIT_REWRITE_INTERVAL = 60_000_000, 5_000_000
 MAX_ENDPOINTS = 256  # number of limits, and of outages, that are retained: the most recently written ones
-# Microseconds. Recorded times are shifted back or forward if the clock offset of the process that wrote them differs
-# from ours by at least this; a smaller difference is a correction of the wall clock. After a restart of the machine the
-# monotonic clock begins anew, so that recorded times are shifted back.
-MIN_SHIFT_BACK = 2_000_000
-MIN_SHIFT_FORWARD = 3_600_000_000
+# Microseconds by which an attempt counts as earlier if the machine was restarted since, as the time that has passed is
+# only estimated: windows for repeats are over.
+REBOOT_MARGIN = 3_600_000_000
 
 
 def _blocks(size: int) -> int:
@@ -62,34 +61,43 @@
         self.entries: dict[int, Entry] = {}
         self._reserved_size = 0  # size of a compacted file in bytes, plus the room reserved for later records
         self._entry_sizes: dict[int, int] = {}  # by message number: its share of ``_reserved_size`` in bytes
-        self._ended: dict[str, tuple[int, str]] = {}  # by name: expiry (Unix microseconds), text
-        self._limits: dict[bytes, tuple[int, float]] = {}  # by endpoint: expiry (Unix microseconds), calls per second
-        # By endpoint, in Unix microseconds: expiry, start of the outage, start of the recovery.
-        self._outages: dict[bytes, tuple[int, int, int]] = {}
+        # Expiries and the times of outages are microseconds of the monotonic clock.
+        self._ended: dict[str, tuple[int, str]] = {}  # by name: expiry, text
+        self._limits: dict[bytes, tuple[int, float]] = {}  # by endpoint: expiry, calls per second
+        # By endpoint: expiry, start of the outage, start of the recovery or None.
+        self._outages: dict[bytes, tuple[int, int, int | None]] = {}
         self._ended_live = 0  # bytes of the records of ended messages in a compacted file
         self._size = 0  # bytes of the file, without a torn tail
-        self._offset = time.time_ns() // 1000 - time.monotonic_ns() // 1000  # microseconds from monotonic to Unix time
+        self._started = ClockReading.now()
         self._new_path.unlink(missing_ok=True)  # left by a compaction interrupted before its rename
         self._load()
         self._file = os.open(self._path, os.O_WRONLY | os.O_CREAT, 0o600)
         os.lseek(self._file, self._size, os.SEEK_SET)
         os.ftruncate(self._file, self._size)
         if not self._compact() and not self._size:
-            self._append(self._clock())  # needed by a later process to convert the times of this one
+            self._append(self._clock())
 
     def _clock(self) -> bytes:
-        return records.record(CLOCK, 0, struct.pack("<q", self._offset))
+        """The records that a later process needs to convert the times of this one."""
+        started = self._started
+        boot = records.record(BOOT, 0, clock.BOOT_FIELDS.pack(started.boot, clock.monotonic())) if started.boot else b""
+        return boot + records.record(CLOCK, 0, struct.pack("<q", started.offset))
+
+    def _unix(self, when: int) -> int:
+        """A monotonic time of this process as it is recorded: by the offset of its start, not by the wall clock now."""
+        return when + self._started.offset
 
     def _load(self) -> None:
         """Read the file; a torn tail is cut, and damaged records are logged and skipped."""
         data = self._path.read_bytes() if self._path.exists() else b""
-        at = shift = bad = 0
+        at = bad = 0
+        self._conversion, self._recorded_boot = Conversion(), (b"", 0)
         for scanned in records.scan(data):
             at = scanned.end
             try:
                 if scanned.fault:
                     raise ValueError(scanned.fault)
-                shift = self._replay(scanned.kind, scanned.number, scanned.payload, shift)
+                self._replay(scanned.kind, scanned.number, scanned.payload)
             except (ValueError, struct.error, KeyError) as error:
                 bad += 1
                 if bad <= MAX_LOGGED_BAD_RECORDS:
@@ -100,41 +108,62 @@
             logs.error("journal-bad-records", records=bad)
         self._size = at
 
-    def _replay(self, kind: int, number: int, payload: bytes, shift: int) -> int:
-        """Apply one record; returns the shift in microseconds to add to the times of the records that follow."""
-        if kind == ENDED:
+    def _replay(self, kind: int, number: int, payload: bytes) -> None:
+        """Apply one record; raises ``ValueError``, ``KeyError`` or ``struct.error`` if it is invalid."""
+        if kind == BOOT:
+            self._recorded_boot = clock.BOOT_FIELDS.unpack(payload)
+        elif kind == CLOCK:
+            boot, written_at = self._recorded_boot
+            writer = ClockReading(int(struct.unpack("<q", payload)[0]), boot, written_at)
+            self._conversion, self._recorded_boot = clock.conversion(writer, self._started), (b"", 0)
+        elif kind == ENDED:
             until, size = struct.unpack_from("<qI", payload)
-            self._add_ended(payload[12 : 12 + size].decode(), until, payload[12 + size :].decode())
-            return shift
-        if kind == LIMIT:
+            name, text = payload[12 : 12 + size].decode(), payload[12 + size :].decode()
+            self._add_ended(name, self._conversion.from_unix(until), text)
+        elif kind == LIMIT:
             until, rate = records.LIMIT_FIELDS.unpack_from(payload)
-            self._add_limit(payload[records.LIMIT_FIELDS.size :], until, rate)
-            return shift
-        if kind == OUTAGE:
-            self._add_outage(payload[records.OUTAGE_FIELDS.size :], *records.OUTAGE_FIELDS.unpack_from(payload))
-            return shift
-        if kind == CLOCK:
-            step = int(struct.unpack("<q", payload)[0]) - self._offset
-            # A positive step below MIN_SHIFT_FORWARD means that the wall clock was set back, which must not extend
-            # deadlines and windows. A negative step means that the machine was restarted, or that the wall clock was
-            # set forward.
-            return 0 if -MIN_SHIFT_BACK < step < MIN_SHIFT_FORWARD else step
-        if kind == TAKEN:
+            self._add_limit(payload[records.LIMIT_FIELDS.size :], self._conversion.from_unix(until), rate)
+        elif kind == OUTAGE:
+            self._replay_outage(payload[records.OUTAGE_FIELDS.size :], *records.OUTAGE_FIELDS.unpack_from(payload))
+        elif kind == TAKEN:
             deadline, size = struct.unpack_from("<qI", payload)
             text = payload[12 : 12 + size].decode()
-            self._add(Entry(number, text, payload[12 + size :], deadline + shift))
+            self._add(Entry(number, text, payload[12 + size :], self._conversion.from_monotonic(deadline)))
         elif kind == DONE:
             self._drop_entry(number)
         else:
-            entry = self.entries[number]
-            if kind == AWAITS:
-                self._set_awaited(entry, payload.decode())
-            elif kind == VERDICT:
-                entry.after_ms, entry.verdict = struct.unpack_from("<I", payload)[0], payload[4:].decode()
-            else:
-                index, sent = records.ATTEMPT_FIELDS.unpack(payload)
-                entry.attempted(index, sent + shift) if kind == ATTEMPT else entry.not_run(index)
-        return shift
+            self._replay_change(kind, self.entries[number], payload)
+
+    def _replay_outage(self, endpoint: bytes, until: int, since: int, recovering_since: int) -> None:
+        """Apply an OUTAGE record.
+
+        If the machine was restarted since, how far a recovery had come is only estimated: it counts as not begun.
+        """
+        convert = self._conversion.from_unix
+        if not since:
+            self._add_outage(endpoint, None)
+        elif not self._conversion.is_same_boot:
+            now = clock.monotonic()
+            self._add_outage(endpoint, (now + RETENTION, min(now, convert(since)), None))
+        else:
+            self._add_outage(
+                endpoint, (convert(until), convert(since), convert(recovering_since) if recovering_since else None)
+            )
+
+    def _replay_change(self, kind: int, entry: Entry, payload: bytes) -> None:
+        """Apply a record that changes an open message."""
+        if kind == AWAITS:
+            self._set_awaited(entry, payload.decode())
+        elif kind == VERDICT:
+            entry.after_ms, entry.verdict = struct.unpack_from("<I", payload)[0], payload[4:].decode()
+        elif kind == ATTEMPT:
+            index, sent = records.ATTEMPT_FIELDS.unpack(payload)
+            margin = 0 if self._conversion.is_same_boot else REBOOT_MARGIN
+            entry.attempted(index, self._conversion.from_monotonic(sent) - margin)
+        elif kind == NOT_RUN:
+            entry.not_run(records.ATTEMPT_FIELDS.unpack(payload)[0])
+        else:
+            raise ValueError(f"unknown kind {kind}")
 
     def _add(self, entry: Entry) -> None:
         self._drop_entry(entry.number)  # a message whose content was replaced has a second TAKEN record
@@ -157,8 +186,8 @@
 
     def retain_ended(self, name: str, text: str, retention: int) -> None:
         """Retain a text on an ended message across restarts for ``retention`` microseconds, if there is room."""
-        now = time.time_ns() // 1000
-        record = records.ended_record(name, now + retention, text)
+        now = clock.monotonic()
+        record = records.ended_record(name, self._unix(now + retention), text)
         while self._ended and (
             next(iter(self._ended.values()))[0] <= now
             or self._ended_live + len(record) > MAX_ENDED_SHARE * self._max_bytes
@@ -170,7 +199,7 @@
     def ended(self, name: str) -> str | None:
         """The retained text on an ended message; None if there is none, or it has expired."""
         until, text = self._ended.get(name, (0, ""))
-        return text if until > time.time_ns() // 1000 else None
+        return text if until > clock.monotonic() else None
 
     def record_limit(self, endpoint: bytes, rate: float) -> None:
         """Retain the rate limit of an endpoint, in calls per second, across restarts, if there is room.
@@ -179,11 +208,11 @@
         record is older than ``LIMIT_REWRITE_INTERVAL``. A record that would fill a disk block, as its endpoint id is
         long, is not written; the same holds for outages.
         """
-        now = time.time_ns() // 1000
+        now = clock.monotonic()
         until, known = self._limits.get(endpoint, (0, 0.0))
         if until > now + RETENTION - LIMIT_REWRITE_INTERVAL and abs(rate - known) <= 0.1 * known:
             return
-        record = records.limit_record(endpoint, now + RETENTION, rate)
+        record = records.limit_record(endpoint, self._unix(now + RETENTION), rate)
         if len(record) < BLOCK and self._fits(len(record)) and self._append(record):
             self._add_limit(endpoint, now + RETENTION, rate)
 
@@ -201,7 +230,7 @@
     def limit(self, endpoint: bytes) -> float:
         """The retained rate limit of an endpoint in calls per second; 0 if there is none, or it has expired."""
         until, rate = self._limits.get(endpoint, (0, 0.0))
-        return rate if until > time.time_ns() // 1000 else 0.0
+        return rate if until > clock.monotonic() else 0.0
 
     def record_outage(self, endpoint: bytes, outage: tuple[int, int | None] | None) -> None:
         """Retain an endpoint's outage across restarts, if there is room; None: the endpoint serves again.
@@ -209,37 +238,42 @@
         ``outage``: start of the outage, and of the recovery or None, in microseconds of the monotonic clock. The record
         is written when it has changed, and again before it expires while the outage lasts.
         """
-        known, now = self._outages.get(endpoint), time.time_ns() // 1000
-        if outage is None:
-            values = (0, 0, 0)
-        else:
-            since, recovering_since = outage[0] + self._offset, 0 if outage[1] is None else outage[1] + self._offset
-            values = (max(since, recovering_since, now) + RETENTION, since, recovering_since)
+        known, now = self._outages.get(endpoint), clock.monotonic()
+        values = None
+        if outage is not None:
+            since, recovering_since = outage
+            values = max(since, recovering_since or since, now) + RETENTION, since, recovering_since
         renewal_not_due = outage is None or known is not None and known[0] > now + RETENTION // 2
-        if renewal_not_due and values[1:] == (known or (0, 0, 0))[1:]:
+        if renewal_not_due and outage == (known and known[1:]):
             return
-        record = records.outage_record(endpoint, *values)
+        record = self._outage_record(endpoint, values)
         if len(record) < BLOCK and self._fits(len(record)) and self._append(record):
-            self._add_outage(endpoint, *values)
+            self._add_outage(endpoint, values)
+
+    def _outage_record(self, endpoint: bytes, values: tuple[int, int, int | None] | None) -> bytes:
+        if values is None:
+            return records.outage_record(endpoint, 0, 0, 0)
+        until, since, recovering_since = values
+        recovering = 0 if recovering_since is None else self._unix(recovering_since)
+        return records.outage_record(endpoint, self._unix(until), self._unix(since), recovering)
 
-    def _add_outage(self, endpoint: bytes, until: int, since: int, recovering_since: int) -> None:
+    def _add_outage(self, endpoint: bytes, values: tuple[int, int, int | None] | None) -> None:
+        """``values``: expiry, start of the outage, start of the recovery or None; None: the endpoint serves."""
         if endpoint in self._outages:
             self._drop_outage(endpoint)
         elif len(self._outages) >= MAX_ENDPOINTS:
             self._drop_outage(next(iter(self._outages)))
-        if since:
-            self._outages[endpoint] = until, since, recovering_since
-            self._reserved_size += len(records.outage_record(endpoint, until, since, recovering_since))
+        if values is not None:
+            self._outages[endpoint] = values
+            self._reserved_size += len(self._outage_record(endpoint, values))
 
     def _drop_outage(self, endpoint: bytes) -> None:
-        self._reserved_size -= len(records.outage_record(endpoint, *self._outages.pop(endpoint)))
+        self._reserved_size -= len(self._outage_record(endpoint, self._outages.pop(endpoint)))
 
     def outage(self, endpoint: bytes) -> tuple[int, int | None] | None:
         """The retained outage of an endpoint, as in ``record_outage``; None if there is none, or it has expired."""
-        until, since, recovering_since = self._outages.get(endpoint, (0, 0, 0))
-        if until <= time.time_ns() // 1000:
-            return None
-        return since - self._offset, recovering_since - self._offset if recovering_since else None
+        known = self._outages.get(endpoint)
+        return None if known is None or known[0] <= clock.monotonic() else known[1:]
 
     def _drop_entry(self, number: int) -> None:
         if self.entries.pop(number, None) is not None:
@@ -256,7 +290,7 @@
 
     def _compact(self) -> bool:
         """Write the live data to a new file and rename it over the old one; false if there is no room or it fails."""
-        now = time.time_ns() // 1000
+        now = clock.monotonic()
         for name in [name for name, (until, _) in self._ended.items() if until <= now]:
             self._drop_ended(name)
         for endpoint in [endpoint for endpoint, (until, _) in self._limits.items() if until <= now]:
@@ -264,9 +298,13 @@
         for endpoint in [endpoint for endpoint, (until, _, _) in self._outages.items() if until <= now]:
             self._drop_outage(endpoint)
         data = self._clock() + b"".join(entry.records() for entry in self.entries.values())
-        data += b"".join(records.ended_record(name, until, text) for name, (until, text) in self._ended.items())
-        data += b"".join(records.limit_record(endpoint, *values) for endpoint, values in self._limits.items())
-        data += b"".join(records.outage_record(endpoint, *values) for endpoint, values in self._outages.items())
+        data += b"".join(
+            records.ended_record(name, self._unix(until), text) for name, (until, text) in self._ended.items()
+        )
+        data += b"".join(
+            records.limit_record(endpoint, self._unix(until), rate) for endpoint, (until, rate) in self._limits.items()
+        )
+        data += b"".join(self._outage_record(endpoint, values) for endpoint, values in self._outages.items())
         if _blocks(self._size) + _blocks(len(data)) > self._max_bytes:
             return False
         file = -1
--- a/tests/journal/test_read.py
+++ b/tests/journal/test_read.py
@@ -100,7 +100,7 @@
 def test_a_damaged_length_does_not_hide_what_follows(tmp_path: Path) -> None:
     path = write_journal(tmp_path)
     whole = path.read_bytes()
-    second = [scanned.at for scanned in records.scan(whole)][1]
+    second = next(scanned.at for scanned in records.scan(whole) if scanned.kind == records.TAKEN)
     for length in (b"\xff\xff\xff\x7f", b"\x00\x01\x00\x00", b"\0\0\0\0"):
         path.write_bytes(whole[:second] + length + whole[second + 4 :])
         journal = Journal(str(tmp_path), 3_000_000)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -11,7 +11,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from kestrelspar.journal import store
+from kestrelspar.journal import clock, records, store
+from kestrelspar.journal.clock import SECOND
 
 DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=60)
 
@@ -144,27 +145,102 @@
     assert set(open_journal(tmp_path).entries) == {1, 3}
 
 
-# Change of the wall clock, and expected shift of the recorded times, in seconds. A clock that was set forward by 2 s or
-# more looks like a restart of the machine; one that was set back by an hour or more is not taken for a correction.
+def with_attempt(directory: Path) -> store.Journal:
+    """A journal with a message that has a deadline and an attempt that may have run."""
+    journal = open_journal(directory)
+    now = clock.monotonic()
+    journal.record_accepted(1, now + 9 * SECOND, "{}", b"")
+    journal.record_attempt(1, 0, now + 1)
+    return journal
+
+
+def shifts(directory: Path, journal: store.Journal) -> tuple[float, float]:
+    """By how many seconds the next process reads the deadline and the attempt later than they were recorded."""
+    entry, recorded = open_journal(directory).entries[1], journal.entries[1]
+    assert entry.may_have_run_since is not None and recorded.may_have_run_since is not None
+    return (entry.deadline - recorded.deadline) / SECOND, (
+        entry.may_have_run_since - recorded.may_have_run_since
+    ) / SECOND
+
+
+# Change of the wall clock, in seconds.
+@pytest.mark.parametrize("step", [-86_400, -3_600, -7, 7, 60, 3_600, 86_400])
+def test_a_step_of_the_wall_clock_moves_no_deadline_and_no_window(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, step: int
+) -> None:
+    journal, real = with_attempt(tmp_path), time.time_ns
+    journal.record_limit(b"s-1", 20.0)
+    journal.record_outage(b"s-2", (5, 6))
+    journal.retain_ended("n", "text", 60 * SECOND)
+    monkeypatch.setattr(time, "time_ns", lambda: real() + step * 10**9)
+    assert shifts(tmp_path, journal) == (0, 0)
+    again = open_journal(tmp_path)  # reads what the process before has compacted, with the offset of its start
+    assert (again.limit(b"s-1"), again.outage(b"s-2"), again.ended("n")) == (20.0, (5, 6), "text")
+    monkeypatch.setattr(time, "time_ns", real)  # stepped back again
+    assert shifts(tmp_path, journal) == (0, 0)
+    assert open_journal(tmp_path).outage(b"s-2") == (5, 6)
+
+
+@pytest.mark.parametrize("step", [-3_600, 0, 3_600])  # of the wall clock during the restart, in seconds
+def test_after_a_restart_of_the_machine_windows_are_over_and_deadlines_follow_the_wall_clock(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, step: int
+) -> None:
+    journal = with_attempt(tmp_path)
+    journal.record_outage(b"s-2", (clock.monotonic(), clock.monotonic()))
+    real_time, real_monotonic = time.time_ns, time.monotonic_ns
+    booted_at = real_monotonic() - 2 * 10**9  # the machine was down for no time, and has been up for 2 s
+    monkeypatch.setattr(time, "time_ns", lambda: real_time() + (2 + step) * 10**9)
+    monkeypatch.setattr(time, "monotonic_ns", lambda: real_monotonic() - booted_at)
+    monkeypatch.setattr(clock, "boot_id", lambda: bytes(16))
+    now = clock.monotonic()
+    again = open_journal(tmp_path)
+    entry = again.entries[1]
+    left = (entry.deadline - now) / SECOND
+    # At least the time since the boot has passed.
+    assert left == pytest.approx(9 - 2 - max(0, step), abs=0.5)
+    assert entry.may_have_run_since is not None and now - entry.may_have_run_since > 3_500 * SECOND
+    outage = again.outage(b"s-2")
+    assert outage is not None and outage[0] <= now + SECOND and outage[1] is None
+
+
+def test_a_clock_that_is_behind_the_recorded_times_counts_as_one_of_another_boot(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    journal = with_attempt(tmp_path)
+    real = time.monotonic_ns
+    monkeypatch.setattr(time, "monotonic_ns", lambda: real() - 100 * 10**9)
+    entry = open_journal(tmp_path).entries[1]
+    assert entry.deadline - clock.monotonic() <= 9 * SECOND < journal.entries[1].deadline - clock.monotonic()
+
+
+# A journal of an earlier version has no boot ids. Change of the wall clock, and expected shift of the recorded times,
+# in seconds. A clock that was set forward by 2 s or more looks like a restart of the machine; one that was set back by
+# an hour or more is not taken for a correction.
 @pytest.mark.parametrize(("step", "shift"), [(-60, 0), (-1, 0), (1, 0), (60, -60), (-7200, 7200)])
-def test_a_wall_clock_set_back_by_less_than_an_hour_extends_no_deadline_and_no_window(
+def test_without_boot_ids_a_wall_clock_set_back_by_less_than_an_hour_extends_no_deadline_and_no_window(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, step: int, shift: int
 ) -> None:
+    monkeypatch.setattr(clock, "boot_id", lambda: b"")
     journal, real = open_journal(tmp_path), time.time_ns
     journal.record_accepted(1, 9_000_000, "{}", b"")
     journal.record_attempt(1, 0, 8_000_000)
-    monkeypatch.setattr(store.time, "time_ns", lambda: real() + step * 10**9)
+    assert b"".join(bytes([s.kind]) for s in records.scan((tmp_path / "journal").read_bytes())).count(records.BOOT) == 0
+    monkeypatch.setattr(time, "time_ns", lambda: real() + step * 10**9)
     entry = open_journal(tmp_path).entries[1]
     assert entry.may_have_run_since is not None
     assert abs(entry.deadline - 9_000_000 - shift * 1_000_000) < 100_000
-    assert abs(entry.may_have_run_since - 8_000_000 - shift * 1_000_000) < 100_000
+    margin = store.REBOOT_MARGIN if shift else 0
+    assert abs(entry.may_have_run_since - 8_000_000 - shift * 1_000_000 + margin) < 100_000
 
 
-def test_times_are_converted_after_a_restart_of_the_machine(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_without_boot_ids_times_are_converted_after_a_restart_of_the_machine(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(clock, "boot_id", lambda: b"")
     journal = open_journal(tmp_path)
     journal.record_accepted(1, 50_000_000, "{}", b"")
-    real = store.time.monotonic_ns
-    monkeypatch.setattr(store.time, "monotonic_ns", lambda: real() - 30_000_000_000)  # as after a restart
+    real = time.monotonic_ns
+    monkeypatch.setattr(time, "monotonic_ns", lambda: real() - 30_000_000_000)  # as after a restart
     deadline = open_journal(tmp_path).entries[1].deadline
     assert abs(deadline - 20_000_000) < 1_000_000
 
@@ -172,8 +248,8 @@
 def test_limits_survive_a_restart_until_they_expire_and_are_written_rarely(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    now = [time.time_ns()]
-    monkeypatch.setattr(time, "time_ns", lambda: now[0])
+    now = [time.monotonic_ns()]
+    monkeypatch.setattr(time, "monotonic_ns", lambda: now[0])
     journal = open_journal(tmp_path)
     sizes = []
     for rate, seconds in ((20.0, 0), (21.0, 1), (30.0, 1), (30.0, 6), (30.0, 1)):
@@ -205,8 +281,8 @@
 def test_an_outage_is_retained_for_as_long_as_it_lasts(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against an outage that is written only at its beginning: its record would expire after a minute, and a
     # restart would lose it.
-    journal, real, offset = open_journal(tmp_path), time.time_ns, [0]
-    monkeypatch.setattr(store.time, "time_ns", lambda: real() + offset[0])
+    journal, real, offset = open_journal(tmp_path), time.monotonic_ns, [0]
+    monkeypatch.setattr(time, "monotonic_ns", lambda: real() + offset[0])
     for _ in range(5):
         journal.record_outage(b"a", (1_000_000, None))
         assert journal.outage(b"a") is not None
