System calls that fail for a moment end no task, and blame no endpoint for this machine

A failed poll, an exception in a timer, and a failed read of the signal socket ended the loop or the task; a failed unlink the watch.

Change: each is handled where it occurs. Local failures of connect are retried every 50 ms until the attempt's deadline and then give MOOT; EINTR goes on; EAGAIN no longer passes for a connection. A start waits out momentary failures of folder and sockets for 20 s. RemovalLog.clear reports a failed unlink and is retried.

--- a/kestrelspar/http/nexthop.py
+++ b/kestrelspar/http/nexthop.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import math
+import socket
 from collections.abc import Callable
 from dataclasses import replace
 
 from kestrelspar.core.courier import NEVER_RAN, Message, NextHop, Result
 from kestrelspar.http import parser
 from kestrelspar.http.pool import ConnectionPool, PooledConnection
+from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
-from kestrelspar.runtime.loop import MS, SECOND, Loop, connect
+from kestrelspar.runtime.loop import MS, SECOND, ConnectError, Loop, dial
 from snowlock import interface as api
 from snowlock.interface import Outcome
 
@@ -19,6 +21,7 @@
 IDLE_FRACTION = 0.86
 MAX_RETRY_AFTER = 3_600 * SECOND  # larger values count as this one
 MAX_SINGLE_WRITE = 16 * 1024  # bytes of a request that the socket's send buffer takes at once
+LOCAL_RETRY_DELAY = 50 * MS  # after a connection that failed for a reason of this machine
 RESPONSE_READ_TIMEOUT = 1 * SECOND  # from the first byte of a response to its last
 
 
@@ -102,9 +105,13 @@
         ``deadline`` is a time of the loop's clock, in microseconds. ``guard`` is called just before the request is
         written; if it returns False, nothing is sent, and the connection returns to the pool.
         """
-        connection = self._connect(message, hop, deadline)
-        if connection is None:
-            return Result(Outcome.CONNECT_FAILED)
+        try:
+            connection = self._connect(message, hop, deadline)
+        except ConnectError as error:
+            if not error.is_local:
+                return Result(Outcome.CONNECT_FAILED, note=str(error))
+            # Says nothing about the next hop, so it must not count against it.
+            return Result(Outcome.MOOT, note=f"no connection from here: {error}")
         if not guard():
             self._connections.release_unused(hop, connection)
             return Result(Outcome.MOOT, note="barred meanwhile")
@@ -114,8 +121,8 @@
             result = _without_proof(result)
         return replace(result, rested=rested)
 
-    def _connect(self, message: Message, hop: NextHop, deadline: int) -> PooledConnection | None:
-        """An idle connection, or a new one; None if that could not be opened in time.
+    def _connect(self, message: Message, hop: NextHop, deadline: int) -> PooledConnection:
+        """An idle connection, or a new one; ``ConnectError`` if that could not be opened in time.
 
         For a message that may not be sent again, the pool is stricter: a late copy of an earlier refusal would look
         like proof that it did not run.
@@ -125,13 +132,22 @@
         if idle is not None:
             self.reused += 1
             return idle
-        timeout = min(self.settings.connect_timeout_ns // 1000, hop.connect_timeout)
-        sock = connect(self.loop, hop.address, min(deadline, self.loop.now + timeout))
-        if sock is None:
-            return None
+        sock = self._dial(hop, deadline)
         self.opened += 1
         return PooledConnection(Stream(self.loop, sock, self.buffers), self.loop.now, has_carried_call=False)
 
+    def _dial(self, hop: NextHop, deadline: int) -> socket.socket:
+        """A new connection; failures of this machine are retried until the deadline, as they mostly end soon."""
+        timeout = min(self.settings.connect_timeout_ns // 1000, hop.connect_timeout)
+        while True:
+            try:
+                return dial(self.loop, hop.address, min(deadline, self.loop.now + timeout))
+            except ConnectError as error:
+                if not error.is_local or self.loop.now + LOCAL_RETRY_DELAY >= deadline:
+                    raise
+                logs.event("connect-retried", logs.DEBUG, hop=hop.name, why=str(error))
+            self.loop.sleep(LOCAL_RETRY_DELAY)
+
     def _send(self, message: Message, hop: NextHop, connection: PooledConnection, deadline: int) -> Result:
         """Writes the request and reads its response.
 
--- a/kestrelspar/http/sender.py
+++ b/kestrelspar/http/sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import math
 import re
 import socket
@@ -14,7 +15,7 @@
 from kestrelspar.http import parser
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
-from kestrelspar.runtime.loop import MS, SECOND, Loop, Suspension
+from kestrelspar.runtime.loop import BACKLOG, MS, SECOND, Loop, Suspension, close_socket
 
 # From the connection's start or the last response to the first byte of a request: well-behaved clients open another
 # connection when they need one.
@@ -26,6 +27,10 @@
 SHUTDOWN_FIRST_BYTE_TIMEOUT = 600 * MS  # from the connection's start, or SIGTERM if later, to its first byte
 SHUTDOWN_ACCEPT_TIME = 500 * MS  # after SIGTERM, as new connections may arrive for 400 ms
 SHUTDOWN_POLL_INTERVAL = 20 * MS
+ACCEPT_RETRY_DELAY = 20 * MS  # after an error of ACCEPT_EXHAUSTED
+# Errors of accept() that concern all connections alike: descriptors or memory have run out.
+ACCEPT_EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+MAX_CLOSING_FAILURES = BACKLOG  # failed accepts while the listener is closed
 MAX_ACCEPTS_PER_TURN = 32  # of the event loop
 REJECTION_STATUSES = {RefusalReason.DUPLICATE: 409}  # other reasons: 422
 WRITE_TIMEOUT = 400 * MS  # for writing a response, as a client waits no longer for it
@@ -108,16 +113,24 @@
                 except OSError as error:
                     if listener.fileno() < 0:
                         return
-                    logs.warn("not-accepted", front="http", why=str(error))
-                    self.loop.sleep(20 * MS)  # descriptors may have run out, and the listener stays readable
+                    self._log_throttled("not-accepted", str(error))
+                    if error.errno not in ACCEPT_EXHAUSTED:
+                        continue  # this one connection failed; the next one in the queue need not
+                    self.loop.sleep(ACCEPT_RETRY_DELAY)  # the listener stays readable
                     break
                 while self.count >= self._max_connections and not self._make_room():
                     self.loop.sleep(5 * MS)  # this connection and those queued behind it wait for another to close
                 self._start_connection(sock)
 
     def _start_connection(self, sock: socket.socket) -> None:
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        """Start to serve a connection, unless it fails already, as one that the client has reset may."""
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError as error:
+            self._log_throttled("not-accepted", str(error))
+            close_socket(self.loop, sock)
+            return
         client = Client(Stream(self.loop, sock, self.buffers, incoming=True), self.loop.now)
         self._clients[State.NEW][client] = client.connected_at
         self.loop.spawn(self._serve, client)
@@ -181,13 +194,16 @@
         Connections beyond the maximum number are not accepted.
         """
         self._listener = None
-        for _ in range(max(0, self._max_connections - self.count)):
+        failures = 0
+        while self.count < self._max_connections and failures < MAX_CLOSING_FAILURES:
             try:
                 self._start_connection(listener.accept()[0])
-            except OSError:
+            except BlockingIOError:
                 break
-        self.loop.unregister(listener)
-        listener.close()
+            except OSError as error:  # of this one connection; there may be others behind it
+                self._log_throttled("not-accepted", str(error))
+                failures += 1
+        close_socket(self.loop, listener)
 
     def busy(self) -> bool:
         """Whether a connection is open, or a new one may still arrive."""
--- a/kestrelspar/journal/removal_log.py
+++ b/kestrelspar/journal/removal_log.py
@@ -104,9 +104,13 @@
             self._write()
 
     def clear(self) -> None:
-        """Drop all rows and delete the file."""
-        self.rows_by_key, self._size, self.incomplete = {}, 0, False
+        """Drop all rows and delete the file; if that fails, ``retry_write`` deletes it."""
+        self.rows_by_key = {}
+        self._write()
+
+    def _delete(self) -> None:
         self.file.unlink(missing_ok=True)
+        self._size = 0
 
     def retry_write(self) -> None:
         """Write the file if it lacks some rows, as after a write that failed."""
@@ -116,7 +120,7 @@
     def _write(self) -> bool:
         """Rewrite the whole file."""
         if not self.rows_by_key:
-            return self._try_write(self.clear)
+            return self._try_write(self._delete)
         data = self._encode_all()
         while len(data) > self.max_bytes and self._drop_oldest and self.rows_by_key:
             for key in list(self.rows_by_key)[: len(self.rows_by_key) // 4 + 1]:
--- a/kestrelspar/runtime/buffers.py
+++ b/kestrelspar/runtime/buffers.py
@@ -5,7 +5,7 @@
 import mmap
 import socket
 
-from kestrelspar.runtime.loop import MS, Loop
+from kestrelspar.runtime.loop import MS, Loop, close_socket
 
 # Bytes. A head of 8 KiB always fits, and so does nearly every message; longer bodies are read in pieces.
 BUFFER_SIZE = 16 * 1024
@@ -185,5 +185,4 @@
     def close(self) -> None:
         """Close the socket and return the buffer."""
         self.consume(self._end - self._start)
-        self.loop.unregister(self.sock)
-        self.sock.close()
+        close_socket(self.loop, self.sock)
--- a/kestrelspar/runtime/loop.py
+++ b/kestrelspar/runtime/loop.py
@@ -5,8 +5,11 @@
 
 from __future__ import annotations
 
+import contextlib
+import errno
 import heapq
 import itertools
+import os
 import select
 import socket
 import time
@@ -24,6 +27,23 @@
 READ = select.POLLIN
 WRITE = select.POLLOUT
 BACKLOG = 512  # length of the listen queue, in connections
+# Errors of connect() that come from this machine: no port, no buffer, no descriptor, no route, no permission.
+LOCAL_CONNECT_ERRORS = frozenset(
+    {
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.EACCES,
+        errno.EMFILE,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EPERM,
+    }
+)
+POLL_RETRY_DELAY_S = 0.001  # after a failed poll()
 TIMED_OUT = object()  # result of ``Loop.park`` after its deadline, or after ``Loop.expire_read``
 
 
@@ -100,7 +120,7 @@
     def call_at(self, when: int, call: Callable[[], None]) -> Timer:
         """Schedule a call at the given time, or as soon as possible after it.
 
-        The call runs outside of any task: it must not suspend, and an exception in it ends ``run``.
+        The call runs outside of any task: it must not suspend.
         """
         timer = Timer(call)
         heapq.heappush(self._timers, (when, next(self._sequence), timer))
@@ -186,7 +206,12 @@
             if self._timers:
                 remaining = self._timers[0][0] - self.clock()
                 timeout_ms = min(timeout_ms, max(0, -(-remaining // MS)))
-        events = self._poll.poll(timeout_ms)
+        try:
+            events = self._poll.poll(timeout_ms)
+        except OSError as error:  # ENOMEM; timers and ready tasks go on
+            logs.error("poll-failed", why=str(error))
+            time.sleep(POLL_RETRY_DELAY_S)
+            events = []
         self.now = self.clock()
         for descriptor, ready_mask in events:
             waits = self._waits.get(descriptor, {})
@@ -198,44 +223,87 @@
         while self._timers and self._timers[0][0] <= self.now:
             call = heapq.heappop(self._timers)[2].call
             if call is not None:
-                call()
+                self._run_call(call)
         for _ in range(len(self._ready)):
             task, value = self._ready.popleft()
             task.switch(value)
         for call in self.turn_end_calls:
+            self._run_call(call)
+
+    @staticmethod
+    def _run_call(call: Callable[[], None]) -> None:
+        """Run a call outside of any task; an exception in it is logged, and never ends the process."""
+        try:
             call()
+        except Exception:
+            logs.error("fault", task=str(getattr(call, "__qualname__", call)), why=traceback.format_exc())
 
 
 def bind(address: tuple[str, int]) -> socket.socket:
     """Create a non-blocking socket that is bound to this address only, and does not listen yet."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(address)
-    sock.setblocking(False)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
     return sock
 
 
-def connect(loop: Loop, address: tuple[str, int], deadline: int) -> socket.socket | None:
-    """Open a TCP connection; None if it failed or was not established before the deadline.
+class ConnectError(Exception):
+    """No TCP connection was opened.
 
-    None also, with a log line, if the process can't create a socket.
+    ``is_local``: for a reason of this machine, which says nothing about the peer.
     """
+
+    def __init__(self, why: str, is_local: bool) -> None:
+        super().__init__(why)
+        self.is_local = is_local
+
+
+def dial(loop: Loop, address: tuple[str, int], deadline: int) -> socket.socket:
+    """Open a TCP connection; ``ConnectError`` if that fails or the deadline, in microseconds, passes first."""
     try:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     except OSError as error:
-        logs.warn("no-socket", why=str(error))
-        return None
+        raise ConnectError(str(error), is_local=True) from error
+    try:
+        _connect(loop, sock, address, deadline)
+    except OSError as error:
+        close_socket(loop, sock)
+        raise ConnectError(str(error), error.errno in LOCAL_CONNECT_ERRORS) from error
+    return sock
+
+
+def _connect(loop: Loop, sock: socket.socket, address: tuple[str, int], deadline: int) -> None:
     sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    status = sock.connect_ex(address)
+    if status in (errno.EINPROGRESS, errno.EINTR):  # after EINTR, the system goes on connecting
+        if not loop.writable(sock, deadline):
+            raise TimeoutError(errno.ETIMEDOUT, "not established in time")
+        status = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if status:
+        raise OSError(status, os.strerror(status))
+
+
+def connect(loop: Loop, address: tuple[str, int], deadline: int) -> socket.socket | None:
+    """Open a TCP connection; None if it failed or was not established before the deadline.
+
+    A failure for a reason of this machine is logged.
+    """
     try:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.connect(address)
-    except BlockingIOError:
-        if loop.writable(sock, deadline) and not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            return sock
-    except OSError:
-        pass
-    else:
-        return sock
+        return dial(loop, address, deadline)
+    except ConnectError as error:
+        if error.is_local:
+            logs.warn("no-socket", why=str(error))
+        return None
+
+
+def close_socket(loop: Loop, sock: socket.socket) -> None:
+    """Unregister and close a socket. Linux releases its descriptor even if it reports an error."""
     loop.unregister(sock)
-    sock.close()
-    return None
+    with contextlib.suppress(OSError):
+        sock.close()
--- a/kestrelspar/runtime/signals.py
+++ b/kestrelspar/runtime/signals.py
@@ -6,7 +6,10 @@
 import socket
 from collections.abc import Callable, Mapping
 
-from kestrelspar.runtime.loop import Loop
+from kestrelspar.runtime import logs
+from kestrelspar.runtime.loop import MS, Loop
+
+READ_RETRY_DELAY = 20 * MS
 
 
 def open_signal_socket() -> socket.socket:
@@ -36,6 +39,10 @@
             numbers = signal_socket.recv(64)
         except BlockingIOError:
             continue
+        except OSError as error:  # ENOMEM; the numbers stay in the socket
+            logs.error("signals-not-read", why=str(error))
+            loop.sleep(READ_RETRY_DELAY)
+            continue
         for number in numbers:
             if number in calls:
                 loop.spawn(calls[number])
--- a/kestrelspar/serve.py
+++ b/kestrelspar/serve.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import errno
 import gc
 import os
 import signal
 import socket
+import time
 import zlib
 from collections.abc import Callable, Mapping
 from functools import partial
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from kestrelspar.core import entries
 from kestrelspar.core.courier import Courier
@@ -41,6 +43,23 @@
 MAX_SAVED_LISTS_FRACTION = 0.5  # of the disk limit, for registries' saved lists; the journal needs the rest
 # How long a start waits for the first lists of discovery and registries, and how often it looks whether they are there.
 INITIAL_LIST_TIMEOUT, INITIAL_LIST_POLL_INTERVAL = 200 * MS, 2 * MS
+# Failures of the machine that a start waits out, for how long in seconds, and how often it tries again. An address that
+# another process uses, or a folder that does not exist, ends the start at once.
+MOMENTARY_ERRORS = frozenset(
+    {
+        errno.EAGAIN,
+        errno.EDQUOT,
+        errno.EINTR,
+        errno.EIO,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.ENOSPC,
+    }
+)
+START_RETRY_TIME_S, START_RETRY_DELAY_S = 20.0, 0.05
+T = TypeVar("T")
 # Fields of the platform's configuration that a reload does not apply.
 RESTART_ONLY = ("name", "listen", "state", "sockets", "memory", "disk_bytes", "settings")
 
@@ -226,7 +245,7 @@
     0: ended by SIGTERM or SIGINT. 2: the configuration is invalid, the state directory is unusable, or an address
     cannot be bound.
     """
-    signal_socket = signals.open_signal_socket()
+    signal_socket = _retry_at_start(signals.open_signal_socket)
     # Reading a long list creates no reference cycles, and garbage collection took half of the start time.
     heap.disable_collection()
     try:
@@ -241,9 +260,9 @@
         for name in saved_list.remove_unused(config.state, [registry.label for registry in startup.registries]):
             logs.event("registry-kept-removed", file=name)
         journal_bytes = config.disk_bytes - startup.saved_lists_bytes - RemovalLog.max_disk_usage(MAX_REMOVALS_BYTES)
-        journal = Journal(config.state, journal_bytes, config.settings.max_attempts)
-        listener = bind(config.listen)
-        smpp_listener = None if smpp is None else bind(smpp.listen)
+        journal = _retry_at_start(lambda: Journal(config.state, journal_bytes, config.settings.max_attempts))
+        listener = _retry_at_start(lambda: bind(config.listen))
+        smpp_listener = None if smpp is None else _retry_at_start(lambda: bind(smpp.listen))
     except OSError as error:  # a state directory that is not writable, or an address in use
         logs.error("can't-start", why=str(error))
         return 2
@@ -321,6 +340,19 @@
     return 0 if courier.closing is not None else 2
 
 
+def _retry_at_start(call: Callable[[], T]) -> T:
+    """Make a call of the start; failures that may end by themselves are retried for ``START_RETRY_TIME_S``."""
+    deadline = time.monotonic() + START_RETRY_TIME_S
+    while True:
+        try:
+            return call()
+        except OSError as error:
+            if error.errno not in MOMENTARY_ERRORS or time.monotonic() >= deadline:
+                raise
+            logs.warn("start-retried", why=str(error))
+        time.sleep(START_RETRY_DELAY_S)
+
+
 def _open_front_ends(courier: Courier, front_ends: list[Callable[[], None]], config: platform.Config) -> None:
     """Waits for a current list, recovers messages from the journal, then opens the front ends.
 
@@ -363,7 +395,7 @@
     The socket does not listen before that. A request that arrived during the start would wait unread, and as a
     message's lifetime runs from when it was sent, its final state would be late by that wait.
     """
-    listener.listen(BACKLOG)
+    _retry_at_start(lambda: listener.listen(BACKLOG))
     loop.spawn(accept, listener)
 
 
--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -16,7 +16,7 @@
 from kestrelspar.core.courier import DELIVERED, FAILED, Answer, Courier, End, Message, RefusalReason
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
-from kestrelspar.runtime.loop import MS, SECOND, TIMED_OUT, Loop, Suspension, Timer, connect
+from kestrelspar.runtime.loop import MS, SECOND, TIMED_OUT, Loop, Suspension, Timer, close_socket, connect
 from kestrelspar.settings.resolve import Account, Smpp
 
 if TYPE_CHECKING:
@@ -140,8 +140,13 @@
                 logs.warn("smpp-too-many")
                 sock.close()
                 continue
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            try:
+                sock.setblocking(False)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            except OSError as error:  # the client may have reset it already
+                logs.warn("not-accepted", front="smpp", why=str(error))
+                close_socket(self.loop, sock)
+                continue
             self.loop.spawn(self._serve_connection, sock, f"{peer[0]}:{peer[1]}")
 
     def _make_room(self) -> bool:
