--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -37,6 +37,9 @@
 DEFAULT_RETRY_AFTER = 1_000 * MS  # default retry-after delay of a deferred submission
 # Time left at which a missing outcome is queried and the message ends; at most half of that at the start of the wait.
 OUTCOME_QUERY_MARGIN = 1_000 * MS
+# After a message's deadline: latest report of an end that can't be journalled; an end may be reported for 300 ms.
+MAX_REPORT_DELAY = 100 * MS
+JOURNAL_RETRY_INTERVAL = 50 * MS  # between attempts to write to a journal that has failed
 BUDGET_WAIT_TIMEOUT = 500 * MS  # maximum wait of a call for room in the budget, before an endpoint is chosen anew
 # Outcomes that prove that the attempt did not run.
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.REJECTED)
@@ -270,6 +273,15 @@
         self.attempts_in_flight = 0
         self._last_number = max(journal.entries, default=0)
         loop.turn_end_calls.append(self._decide)
+        journal.on_failure = lambda: loop.spawn(self._await_journal)
+        if journal.failing:  # since the start
+            journal.on_failure()
+
+    def _await_journal(self) -> None:
+        """Try to write what the journal could not write, until it can be written again."""
+        while self.journal.failing:
+            self.loop.sleep(JOURNAL_RETRY_INTERVAL)
+            self.journal.probe()
 
     # Message life cycle
 
@@ -423,10 +435,7 @@
         # window of a work-order has ended.
         guard = _SendGuard(
             lambda: self._controller.may_still_send(self.loop.now * NS_PER_US, action.endpoint, message.number),
-            lambda: (
-                self._spend(action.endpoint, attempt_index)
-                and self.journal.record_attempt(message.number, attempt_index, self.loop.now)
-            ),
+            lambda: self._spend(action.endpoint, attempt_index) and self._record_attempt(message, attempt_index),
         )
         if self.peers is not None:
             self.peers.wait_for_budget(
@@ -488,6 +497,17 @@
         )
         return result
 
+    def _record_attempt(self, message: Message, attempt_index: int) -> bool:
+        """Journal an attempt that is about to be sent; false if it may not be sent.
+
+        A message that may be repeated is sent even if that fails: a restart that does not know of the attempt repeats
+        it at worst.
+        """
+        if self.journal.record_attempt(message.number, attempt_index, self.loop.now):
+            return True
+        may_repeat = self.settings.classes[message.cls].safety is api.Safety.SAFE
+        return may_repeat and self.journal.note_unrecorded_attempt(message.number, attempt_index, self.loop.now)
+
     def _spend(self, endpoint: api.EndpointId, attempt_index: int) -> bool:
         """Take a call that is about to be sent from the shared budget, where there is one."""
         return self.peers is None or self.peers.spend_budget(endpoint, attempt_index > 0)
@@ -582,9 +602,17 @@
     def _end(self, message: Message, end: End) -> None:
         """Journal the final state, report it to the sender side, and drop the message.
 
-        It is reported even if it can't be journalled.
+        While it can't be journalled, the report waits, as a restart would go on with the message although its end has
+        been told. It is reported at the latest ``MAX_REPORT_DELAY`` after the deadline. A delivered message needs no
+        wait, as that end is not revoked by another call of a message that may be repeated.
         """
-        self.journal.record_end(message.number, end.state, end.after_ms)
+        while not self.journal.record_end(message.number, end.state, end.after_ms):
+            if message.number not in self.journal.entries:
+                break
+            if end.state == DELIVERED or self.loop.now >= message.deadline + MAX_REPORT_DELAY:
+                self.journal.record_end_later(message.number, end.state, end.after_ms)
+                break
+            self.loop.sleep(JOURNAL_RETRY_INTERVAL)
         self._report_end(message, end)
 
     def _report_end(self, message: Message, end: End) -> None:
@@ -854,9 +882,21 @@
     def serving(self) -> bool:
         """Whether submissions are accepted in general.
 
-        The start is complete, no shutdown has begun, and no source's list is missing or too old to use.
+        The start is complete, no shutdown has begun, no source's list is missing or too old to use, and the journal can
+        be written.
         """
-        return self.ready and not self.stale
+        return not self.why_not_serving
+
+    @property
+    def why_not_serving(self) -> str:
+        """Why submissions are not accepted in general; empty if they are."""
+        if not self.ready:
+            return "shutting down" if self.closing is not None else "starting"
+        if self.stale:
+            return f"the list of endpoints is too old: {next(iter(self.stale))}"
+        if self.journal.failing:
+            return f"the journal can't be written: {self.journal.failing}"
+        return ""
 
     def apply_map_update(
         self, source: str, hops: Iterable[NextHop], complete: bool = False, removed: Iterable[api.EndpointId] = ()
--- a/kestrelspar/http/sender.py
+++ b/kestrelspar/http/sender.py
@@ -393,7 +393,8 @@
     def _response_to_get(self, path: str, keep: bool) -> bytes:
         """Returns the response to a health check or a request for statistics."""
         if path == "/health/ready":
-            return parser.response(200 if self.courier.serving else 503, keep=keep)
+            reason = self.courier.why_not_serving
+            return parser.response(503 if reason else 200, f"{reason}\n".encode() if reason else b"", keep=keep)
         if path == "/health/live":
             return parser.response(200, keep=keep)
         if path == "/stats":
--- a/kestrelspar/journal/store.py
+++ b/kestrelspar/journal/store.py
@@ -7,8 +7,11 @@
 
 from __future__ import annotations
 
+import contextlib
+import errno
 import os
 import struct
+from collections.abc import Callable
 from pathlib import Path
 
 from kestrelspar.journal import clock, records
@@ -69,11 +72,14 @@
         self._ended_live = 0  # bytes of the records of ended messages in a compacted file
         self._size = 0  # bytes of the file, without a torn tail
         self._started = ClockReading.now()
+        self.failing = ""  # why the last write failed; empty: it did not
+        self.on_failure: Callable[[], None] | None = None  # called when writes begin to fail
+        self._has_torn_tail = self._compaction_failed = False
+        self._write_later: list[bytes] = []  # records that could not be written and must not get lost, oldest first
         self._new_path.unlink(missing_ok=True)  # left by a compaction interrupted before its rename
         self._load()
         self._file = os.open(self._path, os.O_WRONLY | os.O_CREAT, 0o600)
-        os.lseek(self._file, self._size, os.SEEK_SET)
-        os.ftruncate(self._file, self._size)
+        self._cut_torn_tail()
         if not self._compact() and not self._size:
             self._append(self._clock())
 
@@ -311,38 +317,104 @@
         try:
             file = os.open(self._new_path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
             if os.write(file, data) != len(data):
-                raise OSError("short write")
+                raise OSError(errno.ENOSPC, "short write")
             os.rename(self._new_path, self._path)
         except OSError as error:
-            logs.warn("journal-not-compacted", why=str(error))
-            if file >= 0:
-                os.close(file)
-            self._new_path.unlink(missing_ok=True)
+            if not self._compaction_failed:
+                logs.warn("journal-not-compacted", why=str(error))
+            self._compaction_failed = True
+            with contextlib.suppress(OSError):
+                if file >= 0:
+                    os.close(file)
+                self._new_path.unlink(missing_ok=True)
             return False
-        os.close(self._file)
+        with contextlib.suppress(OSError):
+            os.close(self._file)
         self._file, self._size = file, len(data)
+        # The new file has all that is known of open messages, and nothing of those that are done.
+        self._compaction_failed = self._has_torn_tail = False
+        self._write_later.clear()
+        self._write_succeeded()
         return True
 
     def _append(self, record: bytes) -> bool:
         """Append a record, after a compaction if one is due; false if the limit has no room or the write fails.
 
-        A partial write is truncated, so that no record follows a torn one.
+        A partial write is truncated, so that no record follows a torn one. As long as that fails, nothing is appended.
+        Records of ``_write_later`` come first.
         """
+        if not self.retry_writes():
+            return False
         near_limit = _blocks(self._size + len(record)) + _blocks(self._reserved_size + BLOCK) + BLOCK > self._max_bytes
         if near_limit or self._size > self._max_bytes // 4 and self._size > 3 * self._reserved_size:
             self._compact()
         if _blocks(self._size + len(record)) > self._max_bytes:
             return False
+        return self._write(record)
+
+    def _write(self, record: bytes) -> bool:
+        """Write a record behind the last one; false if that fails."""
         try:
-            if os.write(self._file, record) == len(record):
-                self._size += len(record)
-                return True
+            if os.write(self._file, record) != len(record):
+                raise OSError(errno.ENOSPC, "short write")
         except OSError as error:
+            self._write_failed(error)
+            self._cut_torn_tail()
+            return False
+        self._size += len(record)
+        self._write_succeeded()
+        return True
+
+    def _write_failed(self, error: OSError) -> None:
+        has_begun, self.failing = not self.failing, str(error)
+        if has_begun:
             logs.error("journal-not-written", why=str(error))
-        os.ftruncate(self._file, self._size)
-        os.lseek(self._file, self._size, os.SEEK_SET)
+            if self.on_failure is not None:
+                self.on_failure()
+
+    def _write_succeeded(self) -> None:
+        if self.failing:
+            logs.event("journal-written-again", size=self._size)
+        self.failing = ""
+
+    def _cut_torn_tail(self) -> bool:
+        """Remove what a failed write has left behind the last record; false if that fails, too."""
+        try:
+            os.ftruncate(self._file, self._size)
+            os.lseek(self._file, self._size, os.SEEK_SET)
+        except OSError as error:
+            self._write_failed(error)
+            self._has_torn_tail = True
+            return False
+        self._has_torn_tail = False
+        return True
+
+    def _write_or_retry(self, record: bytes) -> bool:
+        """Append a record that must not get lost: one that can't be written now is written as soon as that works."""
+        if self._append(record):
+            return True
+        self._write_later.append(record)
         return False
 
+    def retry_writes(self) -> bool:
+        """Write what could not be written before; false if something is left.
+
+        While ``failing`` is set and nothing is left to be written, a clock record shows whether writes work again.
+        """
+        if self._has_torn_tail and not self._cut_torn_tail():
+            return False
+        while self._write_later:
+            if _blocks(self._size + len(self._write_later[0])) > self._max_bytes and not self._compact():
+                return False
+            if self._write_later and not self._write(self._write_later[0]):
+                return False
+            del self._write_later[:1]
+        return True
+
+    def probe(self) -> bool:
+        """Whether writes work again; writes a clock record if nothing else has to be written."""
+        return self.retry_writes() and (not self.failing or self._append(self._clock()))
+
     def record_accepted(self, number: int, deadline: int, text: str, body: bytes) -> bool:
         """Record an accepted message; if false, it must be refused.
 
@@ -377,6 +449,18 @@
         entry.attempted(index, sent)
         return True
 
+    def note_unrecorded_attempt(self, number: int, index: int, sent: int) -> bool:
+        """Note an attempt that could not be recorded, and that may be repeated without harm; false without an entry.
+
+        It is written as soon as that works. A restart before that does not know of it.
+        """
+        entry = self.entries.get(number)
+        if entry is None:
+            return False
+        entry.attempted(index, sent)
+        self._write_later.append(records.record(ATTEMPT, number, records.ATTEMPT_FIELDS.pack(index, sent)))
+        return True
+
     def record_not_run(self, number: int, index: int) -> None:
         """Record that an attempt never ran, as its outcome proved.
 
@@ -385,7 +469,7 @@
         entry = self.entries.get(number)
         if entry is not None:
             entry.not_run(index)
-            self._append(records.record(NOT_RUN, number, records.ATTEMPT_FIELDS.pack(index, 0)))
+            self._write_or_retry(records.record(NOT_RUN, number, records.ATTEMPT_FIELDS.pack(index, 0)))
 
     def record_awaited(self, number: int, text: str) -> bool:
         """Record that the next hop accepted a message and its outcome is awaited; false if that is not written.
@@ -406,21 +490,25 @@
         self._entry_sizes[entry.number] += more
 
     def record_end(self, number: int, state: str, after_ms: int) -> bool:
-        """Record a final state before it is reported to the sender side; false if that can't be written.
-
-        The entry has the state even then, so that a later compaction writes it.
-        """
+        """Record a final state before it is reported to the sender side; false, and unchanged, if that fails."""
         entry = self.entries.get(number)
-        if entry is None:
+        if entry is None or not self._append(records.record(VERDICT, number, records.verdict_payload(state, after_ms))):
             return False
         entry.verdict, entry.after_ms = state, after_ms
-        return self._append(records.record(VERDICT, number, records.verdict_payload(state, after_ms)))
+        return True
+
+    def record_end_later(self, number: int, state: str, after_ms: int) -> None:
+        """Record a final state that has to be reported now although ``record_end`` failed, as soon as that works."""
+        entry = self.entries.get(number)
+        if entry is not None:
+            entry.verdict, entry.after_ms = state, after_ms
+            self._write_or_retry(records.record(VERDICT, number, records.verdict_payload(state, after_ms)))
 
     def record_done(self, number: int) -> None:
         """Record that a message needs no further report, and drop its entry.
 
-        If the record can't be written, a restart before the next compaction recovers the message.
+        A record that can't be written now is written as soon as that works; a restart before that recovers the message.
         """
         if number in self.entries:
-            self._append(records.record(DONE, number, b""))
             self._drop_entry(number)
+            self._write_or_retry(records.record(DONE, number, b""))
--- a/tests/http/test_system_calls.py
+++ b/tests/http/test_system_calls.py
@@ -158,7 +158,7 @@
             self.real, self.failures = real, 5
 
         def poll(self, timeout: int) -> list[tuple[int, int]]:
-            if self.failures:
+            if self.failures and timeout != SKIPPING_LOOP_TIMEOUT:
                 self.failures -= 1
                 raise OSError(errno.ENOMEM, "no memory")
             return self.real.poll(timeout)  # type: ignore[attr-defined, no-any-return]
