--- a/kestrelspar/http/watch.py
+++ b/kestrelspar/http/watch.py
@@ -14,7 +14,7 @@
 from kestrelspar.journal.removal_log import RemovalLog
 from kestrelspar.runtime import heap, logs
 from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
-from kestrelspar.runtime.loop import MS, SECOND, Loop, connect
+from kestrelspar.runtime.loop import MS, SECOND, Loop, Timer, connect
 from kestrelspar.settings.platform import STATES, address, index_of
 from snowlock import interface as api
 
@@ -69,6 +69,7 @@
         self._has_snapshot = False  # a complete list was received or loaded, to which changes can be applied
         self._is_first_object = True  # no object has been applied yet from the connection
         self._stream: Stream | None = None
+        self._catch_up: Timer | None = None  # marks the list as current
         self._unreadable = ""  # the last text that could not be parsed; its repetitions are not logged
         self._move_count = 0
         self._awaiting_snapshot = False  # the address changed, and no complete list was received from the new one yet
@@ -182,6 +183,8 @@
                     "map-break", source=SOURCE, revision=self.index, status=self._refusal_status, again_ms=delay // MS
                 )
                 self._disconnected_at, self._attempts = self.loop.now, 0
+                if self._catch_up is not None:  # of the connection that has ended
+                    self._catch_up.cancel()
                 self.courier.map.disconnected_sources.add(SOURCE)
             self._attempts += 1
             self.loop.sleep(delay)
@@ -298,7 +301,7 @@
                 "map-heard", source=SOURCE, tries=self._attempts, after_ms=(self.loop.now - self._disconnected_at) // MS
             )
             self._disconnected_at = None
-            self.loop.call_at(self.loop.now + CATCH_UP_TIME, self._mark_current)
+            self._catch_up = self.loop.call_at(self.loop.now + CATCH_UP_TIME, self._mark_current)
         if not text.strip():
             if self._removals is not None:
                 self._removals.retry_write()
@@ -324,12 +327,11 @@
         return not self._is_first_object and isinstance(index, int) and index < self.index
 
     def _mark_current(self) -> None:
-        """Marks the list as current, ``CATCH_UP_TIME`` after a reconnect, unless the watch is broken at that time.
+        """Marks the list as current, ``CATCH_UP_TIME`` after a reconnect; a break before that cancels it.
 
         From then on, an endpoint that is missing from the list does not exist.
         """
-        if self._disconnected_at is None:
-            self.courier.map.disconnected_sources.discard(SOURCE)
+        self.courier.map.disconnected_sources.discard(SOURCE)
 
     def _log_unreadable(self, why: str, got: str) -> None:
         if got != self._unreadable:
--- a/tests/http/test_staleness.py
+++ b/tests/http/test_staleness.py
@@ -283,3 +283,27 @@
     testbed, watch = start_watch(tmp_path, lambda *_: answers.pop() + b"0\r\n\r\n" if answers else None)
     testbed.run_until(lambda: watch.index == 9)
     testbed.run_until(lambda: watch.index == 2)
+
+
+def test_a_watch_that_broke_again_is_current_only_after_its_own_catch_up_time(tmp_path: Path) -> None:
+    # Guards against rejecting a message for good although its destination may have been listed during the second break.
+    ended = HEAD + chunk(b"\n") + b"0\r\n\r\n"
+    answers = [ended, ended]
+    testbed: HttpTestbed
+    refused_until = 0
+
+    def discovery(*_: object) -> bytes:
+        nonlocal refused_until
+        if answers:
+            refused_until = testbed.loop.now + 3 * SECOND
+            return answers.pop()
+        return HEAD + chunk(b"\n") if testbed.loop.now >= refused_until else b""
+
+    testbed, watch = start_watch(tmp_path, discovery)
+    testbed.run_until(lambda: refused_until and testbed.loop.now > refused_until and watch._disconnected_at is None)
+    connected_at, connections = testbed.loop.now, testbed.platform.connections
+    while testbed.courier.map.disconnected_sources:
+        testbed.platform.streams[-1].sock.send(chunk(b"\n"))
+        testbed.run_for(100 * MS)
+    assert CATCH_UP_TIME <= testbed.loop.now - connected_at < CATCH_UP_TIME + SECOND
+    assert testbed.platform.connections == connections
