Event loop: all tasks that wait for a socket resume, and a full buffer is no end of input

Cause: a second waiter for a socket replaced the first, which then waited for good; a read without room looked like the end of the input, and so like a closed connection.

Change: waits are lists; Stream.fill raises ValueError while the buffer is full.

--- a/kestrelspar/runtime/buffers.py
+++ b/kestrelspar/runtime/buffers.py
@@ -80,8 +80,10 @@
 
         Raises ``ConnectionClosedError`` if the input ended or the connection failed; unread bytes are dropped then.
         Raises ``DeadlineExceededError`` if the deadline passed, also while all buffers were in use; unread bytes stay.
-        Must not be called with ``BUFFER_SIZE`` unread bytes, as a read without room looks like the end of the input.
+        Raises ``ValueError`` with ``BUFFER_SIZE`` unread bytes, as there is no room for more.
         """
+        if self._end - self._start == BUFFER_SIZE:
+            raise ValueError("the buffer is full of unread bytes")
         if not self.loop.readable(self.sock, deadline):
             raise DeadlineExceededError
         while self._buffer is None:
--- a/kestrelspar/runtime/loop.py
+++ b/kestrelspar/runtime/loop.py
@@ -93,7 +93,7 @@
         self.clock = clock
         self.now = clock()
         self._poll = select.poll()
-        self._waits: dict[int, dict[int, Suspension]] = {}  # by descriptor, and by READ or WRITE
+        self._waits: dict[int, dict[int, list[Suspension]]] = {}  # by descriptor, and by READ or WRITE
         self._timers: list[tuple[int, int, Timer]] = []  # heap of time, sequence number, timer
         self._sequence = itertools.count()  # orders timers of the same time
         self._ready: deque[tuple[greenlet, Any]] = deque()
@@ -150,19 +150,18 @@
         return self._wait(sock, WRITE, deadline)
 
     def _wait(self, sock: socket.socket, mask: int, deadline: int | None) -> bool:
-        """Wait for one kind of readiness; false after the deadline.
-
-        At most one task may wait for each kind at a socket: a second one would take the place of the first.
-        """
+        """Wait for one kind of readiness; false after the deadline. All tasks that wait for it resume."""
         descriptor, suspension = sock.fileno(), Suspension(self)
         if descriptor < 0:
             return True  # already closed: the caller's read or write will fail
         waits = self._waits.setdefault(descriptor, {})
-        waits[mask] = suspension
+        waits.setdefault(mask, []).append(suspension)
         self._register(descriptor)
         value = self.park(suspension, deadline)
-        if value is TIMED_OUT and waits.get(mask) is suspension:
-            del waits[mask]
+        if value is TIMED_OUT and suspension in waits.get(mask, ()):
+            waits[mask].remove(suspension)
+            if not waits[mask]:
+                del waits[mask]
             self._register(descriptor)
         return value is not TIMED_OUT
 
@@ -180,13 +179,12 @@
         waits = self._waits.pop(sock.fileno(), None)
         if waits is not None:
             self._poll.unregister(sock.fileno())
-            for suspension in waits.values():
+            for suspension in itertools.chain(*waits.values()):
                 suspension.resume(None)
 
     def expire_read(self, sock: socket.socket) -> None:
-        """Resume the task that waits to read from the socket, if there is one, as if its deadline had passed."""
-        suspension = self._waits.get(sock.fileno(), {}).get(READ)
-        if suspension is not None:
+        """Resume the tasks that wait to read from the socket as if their deadlines had passed."""
+        for suspension in self._waits.get(sock.fileno(), {}).get(READ, ()):
             suspension.resume(TIMED_OUT)
 
     def stop(self) -> None:
@@ -218,7 +216,8 @@
             failed = ready_mask & ~(READ | WRITE)
             for mask in (READ, WRITE):
                 if (ready_mask & mask or failed) and mask in waits:
-                    waits.pop(mask).resume(None)
+                    for suspension in waits.pop(mask):
+                        suspension.resume(None)
             self._register(descriptor)
         while self._timers and self._timers[0][0] <= self.now:
             call = heapq.heappop(self._timers)[2].call
