SMPP sessions: binds by their own response only, no lost turn to write, alerts that can't be read

Cause: the state changed by the response's command whatever was asked; the queue's first entry was resumed although it had given up; the response type of a command that has none raised ValueError.

Change: a pending request knows its command; writers that gave up are passed over; such a command gets a generic_nack.

--- a/kestrelspar/smpp/session.py
+++ b/kestrelspar/smpp/session.py
@@ -32,7 +32,8 @@
         self.last_received_at = loop.now
         self._sequence = 0
         self._received = bytearray()  # bytes not decoded yet, as a PDU may be longer than a buffer
-        self._pending: dict[int, Suspension] = {}  # by sequence number: tasks that wait for a response
+        # By sequence number: the command of a request, and the task that waits for its response.
+        self._pending: dict[int, tuple[Command, Suspension]] = {}
         self._late_handlers: dict[int, Callable[[Pdu | None], None]] = {}  # by sequence number of a timed-out request
         self._unbind_request: Pdu | None = None  # received from the peer and not answered yet
         self.draining = False  # callers of ``request`` have to send no new ones; see ``drain``
@@ -70,15 +71,11 @@
 
     def _dispatch(self, pdu: Pdu, handle: Callable[[Pdu], None]) -> None:
         if pdu.command & p.RESPONSE:
-            waiting = self._pending.pop(pdu.sequence, None)
-            if waiting is not None:
-                new_state = (
-                    BOUND_STATES.get(Command(pdu.command & ~p.RESPONSE))
-                    if pdu.command != Command.GENERIC_NACK
-                    else None
-                )
-                if new_state is not None and not pdu.status:
-                    self.state = new_state  # set here, as a receipt may follow in the bytes already read
+            pending = self._pending.pop(pdu.sequence, None)
+            if pending is not None:
+                command, waiting = pending
+                if command in BOUND_STATES and pdu.command == command | p.RESPONSE and not pdu.status:
+                    self.state = BOUND_STATES[command]  # set here, as a receipt may follow in the bytes already read
                 waiting.resume(pdu)
             else:  # its request has timed out, or was never sent
                 logs.event("smpp-late", peer=self.name, command=pdu.command.name.lower(), sequence=pdu.sequence)
@@ -100,18 +97,19 @@
     def _reject(self, error: p.MalformedPduError) -> None:
         """Answer a malformed request, or end the request that a malformed response belongs to.
 
-        The response is a generic_nack for an unknown command and for an outbind, else the request's own response type.
-        A malformed alert_notification has none: it raises ``ValueError``, which ends the session. A malformed response
-        is not answered; a request that waits for it ends as if it had got a generic_nack with ESME_RSYSERR.
+        The response is a generic_nack for a command that is unknown or has no response, else the request's own
+        response type. A malformed response is not answered; a request that waits for it ends as if it had got a
+        generic_nack with ESME_RSYSERR.
         """
         logs.warn("smpp-bad-pdu", peer=self.name, why=str(error))
         if error.command & p.RESPONSE:
-            waiting = self._pending.pop(error.sequence, None)
-            if waiting is not None:  # the response is unreadable, so the request may have run
-                waiting.resume(Pdu(Command.GENERIC_NACK, error.sequence, Status.ESME_RSYSERR))
+            pending = self._pending.pop(error.sequence, None)
+            if pending is not None:  # the response is unreadable, so the request may have run
+                pending[1].resume(Pdu(Command.GENERIC_NACK, error.sequence, Status.ESME_RSYSERR))
             return
-        answerable = error.status is not Status.ESME_RINVCMDID and error.command != Command.OUTBIND
-        command = Command(error.command | p.RESPONSE) if answerable else Command.GENERIC_NACK
+        response = error.command | p.RESPONSE
+        is_answerable = error.status is not Status.ESME_RINVCMDID and response in set(Command)
+        command = Command(response) if is_answerable else Command.GENERIC_NACK
         self.send(Pdu(command, error.sequence, error.status))
 
     def next_sequence(self) -> int:
@@ -154,7 +152,7 @@
         self.in_flight += 1
         try:
             self._write(p.encode(pdu), deadline)
-            self._pending[pdu.sequence] = waiting  # a response that came earlier belongs to no request
+            self._pending[pdu.sequence] = pdu.command, waiting  # a response that came earlier belongs to no request
             response = self.loop.park(waiting, deadline)
         finally:
             self._pending.pop(pdu.sequence, None)
@@ -197,6 +195,10 @@
             suspension = Suspension(self.loop)
             self._write_queue.append(suspension)
             if self.loop.park(suspension, deadline) is TIMED_OUT:
+                if suspension in self._write_queue:
+                    self._write_queue.remove(suspension)
+                elif not self._writing:  # its turn came just then: the next one takes it
+                    self._resume_next_writer()
                 raise NotSentError
         if self.closed:
             raise NotSentError
@@ -208,8 +210,14 @@
             raise NotSentError from None
         finally:
             self._writing = False
-            if self._write_queue:
-                self._write_queue.pop(0).resume()
+            self._resume_next_writer()
+
+    def _resume_next_writer(self) -> None:
+        while self._write_queue:
+            suspension = self._write_queue.pop(0)
+            if not suspension.resumed:
+                suspension.resume()
+                return
 
     def _monitor_link(self) -> None:
         """Send enquire_link if no PDU was received for the interval; end the session if it gets no response in time."""
@@ -243,7 +251,7 @@
             return
         self.closed = True
         self.stream.close()
-        for suspension in [*self._pending.values(), *self._write_queue]:
+        for suspension in [*(waiting for _, waiting in self._pending.values()), *self._write_queue]:
             suspension.resume(None)
         for on_late in self._late_handlers.values():
             on_late(None)
