TLS: an open connection does not count as closed while no buffer is free

Cause: TlsStream._process_available reported a missing buffer as the end of the connection.

Change: it says so, and peer_closed is false then; is_reusable is false, too, as bytes may have arrived.

Evidence: test_without_a_free_buffer_an_open_connection_does_not_count_as_closed failed before.

--- a/kestrelspar/runtime/tls.py
+++ b/kestrelspar/runtime/tls.py
@@ -166,7 +166,8 @@
     def _process_available(self) -> bool:
         """Process the available input, including session tickets, without waiting.
 
-        Returns false if the peer has closed or no buffer is free.
+        Returns false if the peer has closed. Raises ``DeadlineExceededError`` if no buffer is free, as it is unknown
+        then whether plaintext has arrived.
         """
         try:
             while self._read_socket():
@@ -178,7 +179,7 @@
         try:
             while self._end < BUFFER_SIZE and self._decrypt(self.loop.now):
                 pass
-        except (ConnectionClosedError, DeadlineExceededError):
+        except ConnectionClosedError:
             closed = True
         return not closed
 
@@ -186,11 +187,20 @@
         """Whether the peer is known to have closed or reset the connection, and no plaintext is unread."""
         if self._waiting_for_input:  # the waiting task reads the bytes, and detects the end itself
             return super().peer_closed()
-        return not self._process_available() and self._start == self._end
+        try:
+            return not self._process_available() and self._start == self._end
+        except DeadlineExceededError:
+            return False
 
     def is_reusable(self) -> bool:
-        """Whether the connection is open and no plaintext has arrived; session tickets don't count."""
-        return not self._waiting_for_input and self._process_available() and self._start == self._end
+        """Whether the connection is open and no plaintext has arrived; session tickets don't count.
+
+        False also if no buffer is free to find that out.
+        """
+        try:
+            return not self._waiting_for_input and self._process_available() and self._start == self._end
+        except DeadlineExceededError:
+            return False
 
     def certificate(self) -> dict[str, object]:
         """The peer's verified certificate, as ``ssl.SSLSocket.getpeercert`` returns it; empty if there is none."""
--- a/tests/runtime/test_tls.py
+++ b/tests/runtime/test_tls.py
@@ -131,6 +131,20 @@
     assert not other.is_reusable() and bytes(other.unread) == b"x"
 
 
+def test_without_a_free_buffer_an_open_connection_does_not_count_as_closed() -> None:
+    pair = ConnectedPair()
+    one, other = pair.tls()
+    handshake_both(pair, one, other)
+    assert other.is_reusable()
+    taken = []
+    while (buffer := other.pool.acquire()) is not None:
+        taken.append(buffer)
+    assert not other.peer_closed() and not other.is_reusable()
+    for buffer in taken:
+        other.pool.release(buffer)
+    assert other.is_reusable()
+
+
 @pytest.mark.parametrize(
     ("case", "why"),
     [("other name", "mismatch"), ("other authority", "unable to get local issuer"), ("old version", "")],
