Peers: lending goes on once the state file can be written again

Cause: nothing called Shares._persist again, as requests are refused while storage_failed is set.

Change: tick tries a write every second while storage has failed.

Evidence: test_lending_goes_on_once_the_storage_works_again failed before.

--- a/kestrelspar/peers/shares.py
+++ b/kestrelspar/peers/shares.py
@@ -45,6 +45,7 @@
 # Max lent part of a share, unless the budget is fully lendable: a courier that is cut off, or starts without its state,
 # can still call.
 MAX_LENT_PART = 0.75
+STORAGE_RETRY_INTERVAL = 1 * SECOND  # between writes of the state file after one has failed
 REQUEST_GATHERING_TIME = 50 * MS  # between the first request and the grants for all gathered so far
 REQUEST_INTERVAL = 200 * MS  # min time between two rounds of requests for one budget
 MIN_REQUEST_FANOUT, MAX_REQUEST_FANOUT = 3, 32  # members asked in one round; doubles while too little is granted
@@ -167,6 +168,7 @@
         self._loan_number = 0
         # By loan number: name of the budget, and the loan's key in ``Budget.lent``.
         self._granted_loans: dict[int, tuple[str, tuple[str, int, int]]] = {}
+        self._retry_storage_at = 0  # while storage has failed
         self.storage_failed = False  # loans can't be persisted: nothing more is lent or borrowed
         self.stopped = False  # another process has this name, or this one is leaving: it has no share
         self.silent = False  # sends no messages any more, so it neither lends nor borrows
@@ -339,6 +341,8 @@
         out: Outgoing = []
         if self.stopped or self.silent:
             return out
+        if self.storage_failed and now >= self._retry_storage_at:
+            self._persist({}, now)
         for key, budget in list(self._budgets.items()):
             self._expire_loans(budget, now)
             if budget.retired:
@@ -518,8 +522,8 @@
     def _persist(self, new_max: dict[str, int], now: int) -> bool:
         """Persist the most that is lent, before any of it is used.
 
-        After a failure no loan is requested, granted or accepted. As requests are then refused, nothing is left to
-        grant, and so this is not called again by itself.
+        After a failure no loan is requested, granted or accepted, until a write succeeds: ``tick`` tries again every
+        ``STORAGE_RETRY_INTERVAL``.
         """
         amounts = {key: budget.max_lent for key, budget in self._budgets.items() if budget.max_lent} | new_max
         if now < self._started_at + max(
@@ -529,6 +533,7 @@
             found = {UNKNOWN_LOANS: 1} if self._lent_before is None else self._lent_before
             amounts = {key: amounts.get(key, 0) + found.get(key, 0) for key in amounts.keys() | found.keys()}
         persisted = self._persist_lent(amounts)
+        self._retry_storage_at = now + STORAGE_RETRY_INTERVAL
         if persisted is self.storage_failed:
             self.storage_failed = not persisted
             self.events.append(("peers-folder-full" if self.storage_failed else "peers-folder-again", {}))
--- a/tests/peers/test_shares.py
+++ b/tests/peers/test_shares.py
@@ -20,11 +20,12 @@
 
     def __init__(self, storage_failed: bool = False) -> None:
         self.persisted: list[dict[str, int]] = []
+        self.storage_failed = storage_failed
 
         def persist(lent: dict[str, int]) -> bool:
-            if not storage_failed:
+            if not self.storage_failed:
                 self.persisted.append(lent)
-            return not storage_failed
+            return not self.storage_failed
 
         self.lender = Shares(LoanTerms(2, 0), 1, 0, {}, Random(1), persist)
         self.borrower = Shares(LoanTerms(2, 1), 1, 0, {}, Random(2))
@@ -114,6 +115,18 @@
     assert [name for name, _ in pair.lender.events] == ["peers-folder-full"]
 
 
+def test_lending_goes_on_once_the_storage_works_again() -> None:
+    pair = LenderAndBorrower(storage_failed=True)
+    assert pair.lend(STARTED, pair.request(STARTED)) == []
+    pair.lender.tick(STARTED + 5 * SECOND, [])
+    assert pair.lender.storage_failed
+    pair.storage_failed = False
+    pair.lender.tick(STARTED + 10 * SECOND, [])
+    assert [name for name, _ in pair.lender.events] == ["peers-folder-full", "peers-folder-again"]
+    now = STARTED + 20 * SECOND
+    assert [grant.calls for grant in pair.lend(now, pair.request(now))] == [3]
+
+
 # The amounts that were found at the start, and the calls of the share of five that count as lent: at most three are
 # lendable, and all three count if the amounts are unknown.
 @pytest.mark.parametrize(
