--- a/kestrelspar/lab/rig.py
+++ b/kestrelspar/lab/rig.py
@@ -391,6 +391,7 @@
             )
         self.proxies = self._make_proxies() if external_fleet is None else {}
         self.program = [sys.executable, "-m", "kestrelspar"]  # a test may replace it by a deliberately broken one
+        self.extra_environment: dict[str, str] = {}  # of the couriers' processes
         self._draining = False
 
     def _make_proxies(self) -> dict[tuple[str, str], UdpProxy]:
@@ -459,6 +460,7 @@
         environment = {
             key: value for key, value in os.environ.items() if not key.startswith(("RELAY_", "KESTRELSPAR_"))
         }
+        environment |= self.extra_environment
         environment |= variables | {"PYTHONPATH": str(Path(__file__).parent.parent.parent)}
         node.log = node.directory / "log"
         with node.log.open("ab") as out:
