Brokers: one that counts as failed is tried again after 1 s, then after twice as long each time

A courier counts a broker as failed after two renewals of three attempts each without an answer, as under 30 % loss or a cut of 3 s.

Change: the first wait is 1 s; it doubles up to the term of the lease, so that a broker that stays away is tried as before.

Evidence: test_a_broker_that_was_cut_off_for_seconds_is_back_within_seconds failed before.

--- a/kestrelspar/peers/brokers.py
+++ b/kestrelspar/peers/brokers.py
@@ -78,6 +78,8 @@
 LEASE_TERM = 15 * SECOND  # of a lease, which is renewed at least three times per term
 # Attempts before a renewal counts as missed (one if the broker already counts as failed), and the time between them.
 RENEWAL_ATTEMPTS, RENEWAL_RETRY_INTERVAL = 3, 500 * MS
+# The first wait before a broker that counts as failed is tried again; it doubles up to the lease's term.
+FAILED_RETRY_INTERVAL = 1 * SECOND
 # Consecutive missed renewals after which a courier counts a broker as failed. Among brokers, as many missed pings do
 # as these renewals have attempts.
 MAX_MISSED_RENEWALS = 2
@@ -154,6 +156,7 @@
     open: bool = False  # an answer to the last renewal is awaited
     attempts: int = 0  # of the last renewal
     missed: int = 0  # consecutive renewals without an answer
+    tries: int = 0  # renewals since the broker counts as failed
     generation: int = 1  # of the subscriptions; raised when the whole set is dropped
     subscribed: set[int] = field(default_factory=set)  # what the broker should hold
     digest: int = 0  # of ``subscribed``
@@ -293,7 +296,7 @@
         """Handle a broker that does not answer or shuts down: others own its destinations until it answers again."""
         if not session.answering:
             return
-        session.answering = False
+        session.answering, session.tries = False, 0
         session.generation += 1
         session.subscribed, session.digest, session.to_drop, session.to_add = set(), 0, {}, {}
         self.events.append(("peers-broker-silent", {"broker": session.name, "life": session.epoch}))
@@ -344,6 +347,14 @@
             messages.append(Subscribe(session.generation, added))
         return messages
 
+    @staticmethod
+    def _retry_interval(session: BrokerSession) -> int:
+        """The time until the next attempt of a renewal: a failed broker is tried soon at first, and then seldom."""
+        if session.answering:
+            return RENEWAL_RETRY_INTERVAL
+        session.tries += 1
+        return int(min(LEASE_TERM, FAILED_RETRY_INTERVAL << min(session.tries - 1, 10)))
+
     def _renew(self, session: BrokerSession, now: int) -> LeaseRenewal:
         if session.open and session.attempts >= (RENEWAL_ATTEMPTS if session.answering else 1):
             session.open = False
@@ -354,7 +365,7 @@
             self._last_n += 1
             session.n, session.open, session.attempts = self._last_n, True, 0
         session.attempts += 1
-        session.next_renewal = now + self._jitter(RENEWAL_RETRY_INTERVAL if session.answering else LEASE_TERM)
+        session.next_renewal = now + self._jitter(self._retry_interval(session))
         return LeaseRenewal(
             session.n,
             *self.address,
--- a/tests/peers/test_brokers.py
+++ b/tests/peers/test_brokers.py
@@ -849,3 +849,30 @@
     assert harness.renew("n1", 1), "the old key is still accepted"
     with pytest.raises(DatagramRejectedError):
         Sealer("n1", 1, [KEY]).open(harness.broker.sealer.seal("n1", []))
+
+
+def test_a_broker_that_was_cut_off_for_seconds_is_back_within_seconds() -> None:
+    # Guards against a courier without a broker for the rest of a lease's term after a short cut.
+    courier, (first, *_), now = make_subscriber(), OWNERS["x"], START
+
+    def run(duration: int, silent: tuple[str, ...] = ()) -> int:
+        """Run for the duration; returns how many renewals the first broker was sent."""
+        nonlocal now
+        renewals = 0
+        for _ in range(duration // (50 * MS)):
+            now += 50 * MS
+            sent = reply_to_renewals(courier, courier.tick(now), now, silent=silent)
+            renewals += sum(isinstance(message, LeaseRenewal) for message in sent.get(first, ()))
+        return renewals
+
+    run(10 * SECOND)
+    while courier.status(now)[first]["answering"]:
+        run(50 * MS, silent=(first,))
+    run(2 * SECOND, silent=(first,))
+    run(3 * SECOND)
+    assert courier.status(now)[first]["answering"]
+    # One that stays away is tried as seldom as before: with jitter, every 12 s at the most.
+    while courier.status(now)[first]["answering"]:
+        run(50 * MS, silent=(first,))
+    run(brokers.LEASE_TERM * 2, silent=(first,))
+    assert run(10 * brokers.LEASE_TERM, silent=(first,)) <= 13
