--- a/kestrelspar/http/nexthop.py
+++ b/kestrelspar/http/nexthop.py
@@ -119,7 +119,8 @@
         result = self._send(message, hop, connection, deadline)
         if rested is not None and self._connections.is_distrusted(hop):
             result = _without_proof(result)
-        return replace(result, rested=rested)
+        is_logged = result.outcome is not Outcome.OK or logs.is_enabled(logs.DEBUG)
+        return replace(result, rested=rested) if is_logged and rested is not None else result
 
     def _connect(self, message: Message, hop: NextHop, deadline: int) -> PooledConnection:
         """An idle connection, or a new one; ``ConnectError`` if that could not be opened in time.
@@ -163,10 +164,9 @@
             if len(request) > MAX_SINGLE_WRITE:  # may take several turns of the loop
                 stream.write(request[:-1], deadline)
                 request = request[-1:]
-            if not stream.is_reusable():
-                if stream.has_input():
-                    self._connections.note_unrequested_bytes(hop, stream)
-                raise ConnectionClosedError
+                self._check_no_input(hop, stream)
+            elif not connection.has_carried_call:  # one that has was checked in this turn, when it was acquired
+                self._check_no_input(hop, stream)
             stream.write(request, deadline)
         except (ConnectionClosedError, DeadlineExceededError):
             # The last byte was not written: the next hop cannot have processed the message.
@@ -174,6 +174,14 @@
             return Result(Outcome.CONNECT_FAILED, note="broke before the last byte")
         return self._read_response(hop, stream, deadline)
 
+    def _check_no_input(self, hop: NextHop, stream: Stream) -> None:
+        """Raises ``ConnectionClosedError`` if the connection is closed, or has bytes that no call has requested."""
+        if stream.is_reusable():
+            return
+        if stream.has_input():
+            self._connections.note_unrequested_bytes(hop, stream)
+        raise ConnectionClosedError
+
     def _read_response(self, hop: NextHop, stream: Stream, deadline: int) -> Result:
         """Reads the response to a request that was written, and returns the outcome.
 
--- a/kestrelspar/http/pool.py
+++ b/kestrelspar/http/pool.py
@@ -24,7 +24,7 @@
 from kestrelspar.runtime.buffers import Stream
 from kestrelspar.runtime.loop import MS, SECOND, Loop
 
-REST = 400 * MS  # from the end of a response to the next use of its connection
+REST = 300 * MS  # from the end of a response to the next use of its connection
 SUSPICIOUS_REST = 2 * SECOND  # the same while any endpoint has recently sent a response that no call requested
 DISTRUST_TIME = 60 * SECOND  # from the last unrequested bytes
 REAP_INTERVAL = 200 * MS  # between searches for idle connections that have expired or were closed
--- a/kestrelspar/lab/rig.py
+++ b/kestrelspar/lab/rig.py
@@ -101,11 +101,11 @@
         latency: int,
         rng: random.Random,
         call_faults: dict[str, CallFaults],
-        calls_out: dict[str, list[Stream]],
+        calls_out: dict[str, list[Stream]] | None = None,
     ) -> None:
-        """``calls_out``: the connections of the calls that are out at any member system, by message id."""
+        """``calls_out``: the connections of the calls that are out at any member system, by message id; None: at this one."""
         super().__init__(loop)
-        self._calls_out = calls_out
+        self._calls_out = {} if calls_out is None else calls_out
         self.timed_loop = loop
         self.limit, self.latency, self.call_faults, self._rng = limit, latency, call_faults, rng
         self.calls: list[Call] = []
