Lab: an exception in a timer of the rig ends its run again

Cause: since the event loop logs exceptions in timers and goes on, as a courier has to.

Change: the rig's own loop lets them pass.

--- a/kestrelspar/lab/rig.py
+++ b/kestrelspar/lab/rig.py
@@ -43,7 +43,10 @@
 
 
 class TimedLoop(Loop):
-    """Event loop that records its longest turn: arrivals during a turn are timestamped late by up to that much."""
+    """Event loop that records its longest turn: arrivals during a turn are timestamped late by up to that much.
+
+    An exception in a timer ends the run, as the lab's limits and signals do.
+    """
 
     longest_turn = 0  # microseconds
 
@@ -52,6 +55,11 @@
         super().turn()
         self.longest_turn = max(self.longest_turn, self.clock() - self.now)
 
+    @staticmethod
+    def _run_call(call: Callable[[], None]) -> None:
+        """Run a call outside of any task; unlike in a courier, an exception in it ends the run."""
+        call()
+
 
 @dataclass(slots=True)
 class Call:
@@ -103,7 +111,7 @@
         call_faults: dict[str, CallFaults],
         calls_out: dict[str, list[Stream]] | None = None,
     ) -> None:
-        """``calls_out``: the connections of the calls that are out at any member system, by message id; None: at this one."""
+        """``calls_out``: the connections of the calls that are out at any system, by message id; None: at this one."""
         super().__init__(loop)
         self._calls_out = {} if calls_out is None else calls_out
         self.timed_loop = loop
