--- a/tests/lab/test_hollow.py
+++ b/tests/lab/test_hollow.py
@@ -57,8 +57,10 @@
 def reports(process: subprocess.Popen[bytes]) -> Iterator[dict[str, Any]]:
     assert process.stdout is not None
     deadline = time.monotonic() + TIMEOUT
+    poll = select.poll()  # unlike select(), it takes any descriptor number
+    poll.register(process.stdout, select.POLLIN)
     while time.monotonic() < deadline:
-        if select.select([process.stdout], [], [], 1.0)[0]:
+        if poll.poll(1_000):
             line = process.stdout.readline()
             if not line:
                 return
