Lab: connections to the platform that come up late make final answers late (failing test)

The bound is the standing test's half second. The relay gets faults of new connections, the rig records when ends arrive, and the checkers judge their lateness.

--- a/kestrelspar/lab/checkers.py
+++ b/kestrelspar/lab/checkers.py
@@ -8,6 +8,8 @@
 from kestrelspar.lab.rig import Call, Submission
 
 SECOND = 1_000_000
+# After a message's time: a final answer that arrives later than this counts as lost (standing test).
+MAX_END_DELAY = SECOND // 2
 
 
 def max_calls_per_second(calls: Iterable[Call], window: int = SECOND) -> int:
@@ -58,6 +60,37 @@
     return found
 
 
+def end_delays(sent: dict[str, Submission], calls: Iterable[Call]) -> dict[str, int]:
+    """Return, by accepted message, the microseconds from its time's end to its first end; negative: before.
+
+    An end is an answered call or a notice. Messages without an end are left out: see ``delivery_violations``.
+    """
+    ends: dict[str, int] = {}
+    for call in calls:
+        if call.answered_at is not None:
+            ends[call.trace] = min(call.answered_at, ends.get(call.trace, call.answered_at))
+    for trace, message in sent.items():
+        if message.first_notice_at is not None:
+            ends[trace] = min(message.first_notice_at, ends.get(trace, message.first_notice_at))
+    return {
+        trace: ends[trace] - message.at - message.lifetime
+        for trace, message in sent.items()
+        if message.status == 202 and trace in ends
+    }
+
+
+def late_ends(sent: dict[str, Submission], calls: Iterable[Call], clock_error: int = 0) -> list[str]:
+    """Describe the accepted messages whose first end came too late.
+
+    ``clock_error``: microseconds by which timestamps of arrivals may be late.
+    """
+    return [
+        f"{sent[trace].message_class} {trace}: ended {delay / SECOND:.3f} s after its time"
+        for trace, delay in end_delays(sent, calls).items()
+        if delay > MAX_END_DELAY + clock_error
+    ]
+
+
 def concurrent_calls(calls: Iterable[Call]) -> list[str]:
     """Describe the calls that arrived while an earlier call of their message was out on an open connection."""
     return [f"{call.trace}: two calls at once at {call.at}" for call in calls if call.concurrent]
--- a/kestrelspar/lab/response_relay.py
+++ b/kestrelspar/lab/response_relay.py
@@ -1,13 +1,15 @@
-"""A TCP relay in front of an HTTP server that sends copies of some of the server's responses to the client.
+"""A TCP relay in front of an HTTP server, with faults of new connections and copies of the server's responses.
 
-A copy follows on the connection of the original after a random delay, as a faulty middlebox or a retransmitting server
-would send it. Everything else is forwarded unchanged.
+A connection may come up late, be reset, or never come up: the relay accepts it at once, and forwards nothing until it
+is up. A copy of a response follows on the connection of the original after a random delay, as a faulty middlebox or a
+retransmitting server would send it. Everything else is forwarded unchanged.
 """
 
 from __future__ import annotations
 
 import random
 import socket
+import struct
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -17,6 +19,7 @@
 from kestrelspar.standins.server import accept, free_listener
 
 CONNECT_TIMEOUT = SECOND
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER with which closing a socket resets its connection
 
 
 @dataclass(slots=True)
@@ -28,22 +31,65 @@
     copies: int = 1  # copies of each chosen response
 
 
+@dataclass(slots=True)
+class ConnectionFaults:
+    """What happens to new connections. The shares are of all connections; the rest of them come up at once."""
+
+    late: float = 0.0  # share that comes up after a random delay
+    delay: tuple[int, int] = (0, SECOND)  # bounds of that delay, in microseconds
+    reset: float = 0.0  # share that is reset after a random delay of up to ``reset_delay``
+    reset_delay: int = 100 * MS
+    silent: float = 0.0  # share that never comes up, and is not closed either
+
+
 class ResponseRelay:
-    """Forwards connections to one server, and copies responses as ``faults`` says.
+    """Forwards connections to one server, with the given faults of connections and of responses.
 
     Responses without a Content-Length, such as an endless watch, are forwarded and never copied.
     """
 
-    def __init__(self, loop: Loop, upstream: tuple[str, int], seed: int, faults: CopyFaults | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        upstream: tuple[str, int],
+        seed: int,
+        faults: CopyFaults | None = None,
+        connection_faults: ConnectionFaults | None = None,
+    ) -> None:
         self.loop, self.upstream, self.faults = loop, upstream, faults or CopyFaults()
+        self.connection_faults = connection_faults or ConnectionFaults()
         self.copies_made = 0  # also those whose connection was closed before they were due
+        self.connections = self.faulty_connections = 0
         self._random = random.Random(seed)
+        self._silent: list[Stream] = []  # connections that never come up, kept open
         self._buffers = BufferPool(2048)
         self._listener = free_listener()
         self.address = "{}:{}".format(*self._listener.getsockname())
         loop.spawn(accept, loop, self._listener, self._buffers, self._relay)
 
+    def _comes_up(self, client: Stream) -> bool:
+        """Wait until the connection is up; false if it was reset instead, or stays silent for good."""
+        faults, draw = self.connection_faults, self._random.random()
+        self.connections += 1
+        if draw < faults.reset:
+            self.faulty_connections += 1
+            self.loop.sleep(self._random.randint(0, faults.reset_delay))
+            with suppress(OSError):
+                client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            client.close()
+            return False
+        if draw < faults.reset + faults.silent:
+            self.faulty_connections += 1
+            self._silent.append(client)
+            return False
+        if draw < faults.reset + faults.silent + faults.late:
+            self.faulty_connections += 1
+            self.loop.sleep(self._random.randint(*faults.delay))
+        return True
+
     def _relay(self, client: Stream) -> None:
+        if not self._comes_up(client):
+            return
         sock = connect(self.loop, self.upstream, self.loop.now + CONNECT_TIMEOUT)
         if sock is None:
             client.close()
--- a/kestrelspar/lab/rig.py
+++ b/kestrelspar/lab/rig.py
@@ -28,7 +28,7 @@
 import ujson
 
 from kestrelspar.http import parser
-from kestrelspar.lab.response_relay import CopyFaults, ResponseRelay
+from kestrelspar.lab.response_relay import ConnectionFaults, CopyFaults, ResponseRelay
 from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
 from kestrelspar.runtime.loop import MS, SECOND, Loop, connect
 from kestrelspar.standins import platform
@@ -39,6 +39,7 @@
 # A call is not early if it arrives this soon after the first Retry-After: the courier may have sent it before it read
 # that answer, which takes longer if it is short of CPU. This also covers the turns of the rig's own event loop.
 RETRY_AFTER_GRACE = 500 * MS
+LIFETIMES_MS = {"reading": 4_000, "work-order": 6_000, "payment": 5_000}  # X-Expires-In by class
 RETRY_AFTER_RESOLUTION = 10 * MS  # Retry-After is sent in hundredths of a second
 
 
@@ -72,6 +73,7 @@
     accepted: bool
     unanswered: bool = False  # no answer was sent, as the member system was down or the answer was to be lost
     concurrent: bool = False  # an earlier call of the message was still out on an open connection when it arrived
+    answered_at: int | None = None  # when status 200 was about to be written; None: never
 
 
 @dataclass(slots=True)
@@ -83,6 +85,8 @@
     at: int  # time of submission
     status: int = 0  # HTTP status; 0: no answer
     notices: list[str] = field(default_factory=list)  # states of the notices received
+    lifetime: int = 0  # microseconds from ``at`` in which it may be delivered
+    first_notice_at: int | None = None
     state_lost: bool = False  # the state directory of its courier was lost since, so no end can be expected
 
 
@@ -218,6 +222,7 @@
             self.loop.sleep(30 * SECOND)
             return None
         self.loop.sleep(self.latency)
+        call.answered_at = self.loop.now
         return parser.response(200, headers=report)
 
 
@@ -592,10 +597,12 @@
             row["address"] = relays[-1].address
         return relays
 
-    def relay_discovery(self, faults: CopyFaults) -> ResponseRelay:
-        """Put a relay that copies responses in front of discovery and its reports, as ``relay_members``."""
+    def relay_discovery(
+        self, faults: CopyFaults | None = None, connection_faults: ConnectionFaults | None = None
+    ) -> ResponseRelay:
+        """Put a relay in front of discovery and its reports, as ``relay_members``."""
         host, _, port = self.discovery.address.partition(":")
-        relay = ResponseRelay(self.loop, (host, int(port)), self.rng.getrandbits(32), faults)
+        relay = ResponseRelay(self.loop, (host, int(port)), self.rng.getrandbits(32), faults, connection_faults)
         self.discovery_address = relay.address
         return relay
 
@@ -653,8 +660,9 @@
         """Submit one message of a random class for destination ``group`` to courier ``name``, and record the status."""
         message_class = self.rng.choice(platform.CLASSES)
         trace = f"{name}-{len(self.submissions):06d}"
-        sent = self.submissions[trace] = Submission(message_class, name, self.loop.now)
-        lifetime_ms = {"reading": 4_000, "work-order": 6_000, "payment": 5_000}[message_class]
+        lifetime_ms = LIFETIMES_MS[message_class]
+        sent = Submission(message_class, name, self.loop.now, lifetime=lifetime_ms * MS)
+        self.submissions[trace] = sent
         headers = {
             "X-Trace-Id": trace,
             "X-Qos": message_class,
@@ -668,6 +676,7 @@
         sent = self.submissions.get(str(notice.get("id")))
         if sent is not None:
             sent.notices.append(str(notice.get("state")))
+            sent.first_notice_at = sent.first_notice_at or self.loop.now
 
     def drain(self) -> None:
         """Stop submitting messages, and run for 7 s, so that those accepted can end: none lives longer than 6 s."""
--- /dev/null
+++ b/tests/lab/test_late_connections.py
@@ -0,0 +1,40 @@
+"""Courier processes whose new connections to the platform come up late, are reset, or never come up."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from kestrelspar.lab import checkers
+from kestrelspar.lab.response_relay import ConnectionFaults
+from kestrelspar.lab.rig import Rig
+from kestrelspar.runtime.loop import MS, SECOND
+
+LIMITS = {"m1": 40, "m2": 40, "m3": 40}
+FAULTS = {
+    "third-late-1s": ConnectionFaults(late=1 / 3, delay=(0, SECOND)),
+    "each-late-350ms": ConnectionFaults(late=1.0, delay=(350 * MS, 350 * MS)),
+    "each-late-1500ms": ConnectionFaults(late=1.0, delay=(0, 1500 * MS)),
+    "three-in-ten-reset": ConnectionFaults(reset=0.3),
+    "late-reset-silent": ConnectionFaults(late=0.4, delay=(0, 1500 * MS), reset=0.2, silent=0.1),
+}
+
+
+@pytest.mark.parametrize("faults", FAULTS)
+def test_slow_connections_to_the_platform_make_no_final_answer_late(tmp_path: Path, faults: str) -> None:
+    with Rig(tmp_path, 1, 7, LIMITS, peers=False) as rig:
+        rig.relay_discovery(connection_faults=FAULTS[faults])
+        for member in rig.members.values():
+            member.refused = 1.0  # every message ends with a notice
+        rig.start("n0")
+        rig.ready()
+        rig.traffic({"n0": {"m1": 10.0, "m2": 10.0, "m3": 10.0}}, 10 * SECOND)
+        rig.run(10 * SECOND)
+        rig.drain()
+        calls = [call for member in rig.members.values() for call in member.calls]
+        delays = checkers.end_delays(rig.submissions, calls)
+        print(f"{faults}: {len(delays)} ends, the latest {max(delays.values()) / SECOND:+.3f} s after its time")
+        assert len(delays) > 200  # else the run shows nothing
+        assert not checkers.late_ends(rig.submissions, calls, rig.loop.longest_turn)
+        assert not checkers.delivery_violations(rig.submissions, calls)
