--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -21,6 +21,7 @@
 import ujson
 from msgspec.structs import replace
 
+from kestrelspar.core.answer_times import LATE_AFTER, AnswerSteps, AnswerTimes
 from kestrelspar.core.transport_map import Carrier, NextHop, TransportMap
 from kestrelspar.journal import Entry, Journal
 from kestrelspar.runtime import logs
@@ -271,6 +272,7 @@
         # be processed until the end of the longest repeat window.
         self._remember_for = max(max(c.deadline_ns, c.window_ns) for c in settings.classes) // NS_PER_US
         self.attempts_in_flight = 0
+        self.answer_times = AnswerTimes()
         self._last_number = max(journal.entries, default=0)
         loop.turn_end_calls.append(self._decide)
         journal.on_failure = lambda: loop.spawn(self._await_journal)
@@ -574,7 +576,7 @@
         if not self.journal.record_end(number, state, 0):
             return False
         self._stop_awaiting(number)
-        self.loop.spawn(self._report_end, message, End(state))
+        self.loop.spawn(self._report_end, message, End(state), self.loop.now)
         return True
 
     def _stop_awaiting(self, number: int) -> None:
@@ -606,6 +608,7 @@
         been told. It is reported at the latest ``MAX_REPORT_DELAY`` after the deadline. A delivered message needs no
         wait, as that end is not revoked by another call of a message that may be repeated.
         """
+        decided_at = self.loop.now
         while not self.journal.record_end(message.number, end.state, end.after_ms):
             if message.number not in self.journal.entries:
                 break
@@ -613,10 +616,14 @@
                 self.journal.record_end_later(message.number, end.state, end.after_ms)
                 break
             self.loop.sleep(JOURNAL_RETRY_INTERVAL)
-        self._report_end(message, end)
+        self._report_end(message, end, decided_at)
 
-    def _report_end(self, message: Message, end: End) -> None:
-        """Report a final state to the hooks, to the peers and to the sender side, and drop the message."""
+    def _report_end(self, message: Message, end: End, decided_at: int) -> None:
+        """Report a final state to the hooks, to the peers and to the sender side, and drop the message.
+
+        ``decided_at``: when it was known, in microseconds of the loop's clock.
+        """
+        recorded_at = self.loop.now
         self.open.pop(message.number, None)
         logs.event(
             "ended",
@@ -624,14 +631,36 @@
             trace=message.trace,
             state=end.state,
             after_ms=end.after_ms or None,
+            left_ms=(message.deadline - recorded_at) // MS,
         )
         for hook in self.hooks:
             hook.end(message, end)
         if self.peers is not None:
             self.peers.message_ended(message, end)
         message.sender.report_end(message, end)
+        self._note_answer(message, end, AnswerSteps(decided_at, recorded_at, self.loop.now))
         self._drop(message, end.state)
 
+    def _note_answer(self, message: Message, end: End, steps: AnswerSteps, recovered: bool = False) -> None:
+        """Count an acknowledged final answer, and log by how much it was early or late."""
+        time_left = steps.time_left(message.deadline)
+        self.answer_times.record(time_left)
+        is_late = time_left < -LATE_AFTER
+        if is_late or logs.is_enabled(logs.DEBUG):
+            logs.event(
+                "answered-late" if is_late else "answered",
+                logs.WARNING if is_late else logs.DEBUG,
+                trace=message.trace,
+                state=end.state,
+                left_ms=time_left // MS,
+                step=steps.slowest(message.deadline) if is_late else None,
+                decided_left_ms=(message.deadline - steps.decided_at) // MS,
+                journal_ms=(steps.recorded_at - steps.decided_at) // MS,
+                report_ms=(steps.acknowledged_at - steps.recorded_at) // MS,
+                front=message.sender.name,
+                recovered=recovered or None,
+            )
+
     def _drop(self, message: Message, state: str = "") -> None:
         """Drop a message that needs no further report, and remember it for duplicate detection."""
         self.open.pop(message.number, None)
@@ -747,7 +776,9 @@
 
     def _report_recovered(self, message: Message, end: End) -> None:
         """Report a final state from before the restart, which the sender side may not have received."""
+        started_at = self.loop.now
         message.sender.report_end(message, end)
+        self._note_answer(message, end, AnswerSteps(started_at, started_at, self.loop.now), recovered=True)
         self._drop(message, end.state)
 
     def _from_journal(self, entry: Entry) -> Message:
--- a/kestrelspar/http/sender.py
+++ b/kestrelspar/http/sender.py
@@ -398,6 +398,11 @@
         if path == "/health/live":
             return parser.response(200, keep=keep)
         if path == "/stats":
-            stats = {"open": len(self.courier.open), "out": self.courier.attempts_in_flight, "connections": self.count}
+            stats = {
+                "open": len(self.courier.open),
+                "out": self.courier.attempts_in_flight,
+                "connections": self.count,
+                "answers_by_ms_left": self.courier.answer_times.as_dict(),
+            }
             return parser.response(200, ujson.dumps(stats).encode() + b"\n", keep=keep)
         return parser.response(404, keep=keep)
--- a/tests/lab/test_rig.py
+++ b/tests/lab/test_rig.py
@@ -209,7 +209,10 @@
 Shares.may_call = Shares.try_call = lambda *_: True  # ignore budgets
 Shares.allowed = lambda *_: 1000
 report_end = Courier._report_end
-Courier._report_end = lambda self, message, end: None if end.state != "delivered" else report_end(self, message, end)
+def report_deliveries_only(self, message, end, decided_at):
+    if end.state == "delivered":
+        report_end(self, message, end, decided_at)
+Courier._report_end = report_deliveries_only
 sys.argv = ["kestrelspar"]
 runpy.run_module("kestrelspar", run_name="__main__")
 """
