Notices: requests overlap on connections opened beforehand, and ends are decided in time

A connection that came up late, or was reset or silent, held up all notices behind it. Each connection still carries one request, so a copied 204 acknowledges nothing. A rejected batch is searched in halves beside the others.

--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -38,8 +38,8 @@
 DEFAULT_RETRY_AFTER = 1_000 * MS  # default retry-after delay of a deferred submission
 # Time left at which a missing outcome is queried and the message ends; at most half of that at the start of the wait.
 OUTCOME_QUERY_MARGIN = 1_000 * MS
-# After a message's deadline: latest report of an end that can't be journalled; an end may be reported for 300 ms.
-MAX_REPORT_DELAY = 100 * MS
+# Time for the report of an end, taken from the end of a message's time; at most that share of the time left.
+REPORT_TIME, MAX_REPORT_TIME_SHARE = 300 * MS, 0.05
 JOURNAL_RETRY_INTERVAL = 50 * MS  # between attempts to write to a journal that has failed
 BUDGET_WAIT_TIMEOUT = 500 * MS  # maximum wait of a call for room in the budget, before an endpoint is chosen anew
 # Outcomes that prove that the attempt did not run.
@@ -150,11 +150,22 @@
     after_ms: int = 0  # retry-after delay of a returned message, in milliseconds
 
 
+def default_report_time(time_left: int) -> int:
+    """``SenderSide.report_time`` for reports that normally arrive within milliseconds."""
+    return min(REPORT_TIME, int(MAX_REPORT_TIME_SHARE * time_left))
+
+
 class SenderSide(Protocol):
     """The front end that a message was submitted through."""
 
     name: str
 
+    def report_time(self, time_left: int) -> int:
+        """How long before its deadline the end of a message is decided, so that its report arrives in time.
+
+        ``time_left`` until that deadline is in microseconds, as is the result, which is smaller.
+        """
+
     def report_end(self, message: Message, end: End) -> None:
         """Report the final state if this sender side needs a report; returns when no further report is needed."""
 
@@ -373,11 +384,20 @@
                 self._end(message, End(WITHDRAWN))
                 return
             self._parked.pop(message.number, None)
-        left = max(0, message.deadline - self.loop.now) * NS_PER_US
+        left = max(0, message.deadline - self.loop.now)
+        time_for_attempts = left - message.sender.report_time(left)
         action = self._next_action(
             message.number,
             api.Arrival(
-                message.number, message.cls, message.dest, left, message.tenant, 0, attempts, maybe_since_ns, recovered
+                message.number,
+                message.cls,
+                message.dest,
+                time_for_attempts * NS_PER_US,
+                message.tenant,
+                0,
+                attempts,
+                maybe_since_ns,
+                recovered,
             ),
         )
         while isinstance(action, api.Send):
@@ -612,7 +632,7 @@
         while not self.journal.record_end(message.number, end.state, end.after_ms):
             if message.number not in self.journal.entries:
                 break
-            if end.state == DELIVERED or self.loop.now >= message.deadline + MAX_REPORT_DELAY:
+            if end.state == DELIVERED or self.loop.now >= message.deadline:
                 self.journal.record_end_later(message.number, end.state, end.after_ms)
                 break
             self.loop.sleep(JOURNAL_RETRY_INTERVAL)
--- /dev/null
+++ b/kestrelspar/http/notice_queue.py
@@ -0,0 +1,106 @@
+"""Which notices are sent next, and when one is sent again. No I/O.
+
+A notice stays in the queue until the platform has acknowledged or rejected it. While a request that carries it is
+unanswered, it is sent again on another connection: a notice for a message that is over does no harm, and the first
+request may be on a connection that is silent. All times are microseconds of the event loop's clock.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from kestrelspar.runtime.loop import MS, Suspension
+
+MAX_BATCH_SIZE = 200  # notices in one request
+# From a request to the next one that carries the same notice, while no response has come; doubles.
+INITIAL_RESEND_INTERVAL, MAX_RESEND_INTERVAL = 100 * MS, 200 * MS
+INITIAL_RETRY_DELAY, MAX_RETRY_DELAY = 25 * MS, 250 * MS  # after a request that failed; doubles
+
+
+@dataclass(eq=False, slots=True)
+class Notice:
+    """One notice: its JSON, and the suspension of the task that waits for its acknowledgement."""
+
+    line: str
+    settled: Suspension
+    due_at: int  # when it is to be sent next
+    requests: int = 0  # that have carried it
+    failures: int = 0  # of these
+
+
+Batch = list[Notice]  # the notices of one request
+
+
+class NoticeQueue:
+    """The notices that the platform has neither acknowledged nor rejected, oldest first."""
+
+    def __init__(self) -> None:
+        self._notices: dict[Notice, None] = {}
+        self._halves: deque[Batch] = deque()  # of rejected batches; sent as they are, to find the rejected notice
+
+    def __len__(self) -> int:
+        return len(self._notices)
+
+    def add(self, notice: Notice) -> None:
+        """Queue a notice."""
+        self._notices[notice] = None
+
+    @property
+    def has_halves(self) -> bool:
+        """Whether a half of a rejected batch is to be sent."""
+        return bool(self._halves)
+
+    def next_due_at(self) -> int:
+        """When the next notice is to be sent; 0 if halves of a rejected batch are. The queue must not be empty."""
+        return 0 if self._halves else min(notice.due_at for notice in self._notices)
+
+    def take_batch(self, now: int) -> Batch:
+        """The notices that are to be sent now in one request; empty if none is due."""
+        batch: Batch = []
+        while self._halves and not batch:
+            batch = self._still_queued(self._halves.popleft())
+        if not batch:
+            batch = [notice for notice in self._notices if notice.due_at <= now][:MAX_BATCH_SIZE]
+        for notice in batch:
+            notice.due_at = now + min(MAX_RESEND_INTERVAL, INITIAL_RESEND_INTERVAL << min(notice.requests, 10))
+            notice.requests += 1
+        return batch
+
+    def has_unanswered(self) -> bool:
+        """Whether a request that carries a notice of the queue is unanswered, or has failed."""
+        return any(notice.requests for notice in self._notices)
+
+    def settle(self, batch: Batch) -> Batch:
+        """Remove acknowledged or rejected notices; returns those that were still queued."""
+        settled = self._still_queued(batch)
+        for notice in settled:
+            del self._notices[notice]
+        return settled
+
+    def split(self, batch: Batch) -> None:
+        """Send the halves of a rejected batch of several notices, each in a request of its own."""
+        middle = len(batch) // 2
+        self._halves += [batch[:middle], batch[middle:]]
+
+    def retry(self, batch: Batch, now: int) -> int:
+        """Send the notices of a failed request again after a delay, or earlier if they are due earlier.
+
+        Returns how many of them are still queued.
+        """
+        owed = self._still_queued(batch)
+        for notice in owed:
+            delay = min(MAX_RETRY_DELAY, INITIAL_RETRY_DELAY << min(notice.failures, 10))
+            notice.due_at = min(notice.due_at, now + delay)
+            notice.failures += 1
+        return len(owed)
+
+    def make_due(self, now: int) -> None:
+        """Send all notices again at once."""
+        self._halves.clear()
+        for notice in self._notices:
+            notice.due_at = now
+
+    def _still_queued(self, batch: Iterable[Notice]) -> Batch:
+        return [notice for notice in batch if notice in self._notices]
--- a/kestrelspar/http/notices.py
+++ b/kestrelspar/http/notices.py
@@ -4,127 +4,158 @@
 
 import ujson
 
-from kestrelspar.core.courier import DELIVERED, End, Message
+from kestrelspar.core.courier import DELIVERED, End, Message, default_report_time
 from kestrelspar.http import parser
+from kestrelspar.http.notice_queue import Batch, Notice, NoticeQueue
+from kestrelspar.http.spare_connections import SpareConnections
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
-from kestrelspar.runtime.loop import MS, SECOND, Loop, Suspension, connect
+from kestrelspar.runtime.loop import MS, SECOND, Loop, Suspension
 
-# A final state may be reported up to 300 ms after a message's deadline. Waiting on a connection that does not respond
-# must not use up that time. The platform normally responds at once, so the time-out of the first attempt is short. It
-# doubles after each failure.
-INITIAL_RESPONSE_TIMEOUT, MAX_RESPONSE_TIMEOUT = 150 * MS, 2 * SECOND
-INITIAL_RETRY_DELAY, MAX_RETRY_DELAY = 25 * MS, 250 * MS
-MAX_BATCH_SIZE = 200  # notices
+RESPONSE_TIMEOUT = 2 * SECOND  # for writing a request and reading its response
+SPARE_WAIT = 250 * MS  # for a connection to come up, before one more is opened
+# Between requests while fewer connections are ready than in demand, so that notices share one.
+SCARCE_INTERVAL = 150 * MS
+MIN_CONNECTIONS, MAX_CONNECTIONS = 8, 24  # to the platform
+DESCRIPTORS_PER_CONNECTION = 20  # of the courier's limit
+
+
+def max_connections(sockets: int) -> int:
+    """How many connections to the platform a courier with this limit on descriptors may hold."""
+    return max(MIN_CONNECTIONS, min(MAX_CONNECTIONS, sockets // DESCRIPTORS_PER_CONNECTION))
 
 
 class Notices:
     """The sender side of messages that arrived over HTTP.
 
     A notice is repeated until the platform acknowledges it with a 2xx status, or rejects it, alone in a batch, with
-    status 400.
+    status 400. Requests overlap: one that is late, fails or is rejected delays no other.
     """
 
     name = "http"
 
-    def __init__(self, loop: Loop, buffers: BufferPool, address: tuple[str, int]) -> None:
-        self.loop, self.buffers, self.address = loop, buffers, address
-        self._pending: list[tuple[str, Suspension]] = []  # notices as JSON, each with the suspension of its task
-        self._stream: Stream | None = None
-        self._sending = False  # a task is sending the pending notices
-        self._move_count = 0  # a task that began before a move ends
+    def __init__(
+        self, loop: Loop, buffers: BufferPool, address: tuple[str, int], connections: int = MAX_CONNECTIONS
+    ) -> None:
+        self.loop = loop
+        self._queue = NoticeQueue()
+        self._spares = SpareConnections(loop, buffers, address, connections)
+        self._sending = False  # ``_send_pending`` runs
+        self._idle: Suspension | None = None  # that task, while nothing is due
+        self._move_count = 0  # responses from an earlier address are ignored
+
+    def open_connections(self) -> None:
+        """Open the spare connections, before the first notice needs one."""
+        self._spares.refill()
 
     def move(self, address: tuple[str, int]) -> None:
         """Sends notices to another address from now on, beginning with the pending ones."""
-        self.address, self._move_count = address, self._move_count + 1
-        if self._stream is not None:
-            self._stream.close()  # ends the request that is in progress, and with it the task that sent it
-            self._stream = None
-        if self._sending:
-            self.loop.spawn(self._send_pending)
+        self._move_count += 1
+        self._queue.make_due(self.loop.now)
+        self._spares.move(address)
+        self._wake()
 
     def recover(self, message: Message) -> bool:
         """Always False: an HTTP client cannot query a message that it has submitted."""
         return False
 
+    def report_time(self, time_left: int) -> int:
+        """See ``SenderSide``."""
+        return default_report_time(time_left)
+
     def report_end(self, message: Message, end: End) -> None:
         """Reports a final state, and waits for its acknowledgement or rejection. Delivered messages need no notice."""
         if end.state == DELIVERED:
             return
-        notice: dict[str, object] = {"id": message.trace, "state": end.state}
+        fields: dict[str, object] = {"id": message.trace, "state": end.state}
         if end.after_ms:
-            notice["after_ms"] = end.after_ms
-        acknowledged = Suspension(self.loop)
-        self._pending.append((ujson.dumps(notice), acknowledged))
-        if not self._sending:
+            fields["after_ms"] = end.after_ms
+        notice = Notice(ujson.dumps(fields), Suspension(self.loop), self.loop.now)
+        self._queue.add(notice)
+        self._wake()
+        self.loop.park(notice.settled)
+
+    def has_pending(self) -> bool:
+        """Whether a notice still has to be sent or acknowledged."""
+        return bool(self._queue)
+
+    def _wake(self) -> None:
+        """Let the sending task look at the queue again; starts it if it does not run."""
+        if self._idle is not None:
+            self._idle.resume()
+        elif not self._sending and self._queue:
             self._sending = True
             self.loop.spawn(self._send_pending)
-        self.loop.park(acknowledged)
 
     def _send_pending(self) -> None:
-        """Sends pending notices in batches until there are none, or the platform's address changes."""
-        delay, timeout, batch_size, move_count = (
-            INITIAL_RETRY_DELAY,
-            INITIAL_RESPONSE_TIMEOUT,
-            MAX_BATCH_SIZE,
-            self._move_count,
-        )
-        while self._pending:
-            batch = self._pending[:batch_size]
-            status = self._post("".join(line + "\n" for line, _ in batch).encode(), timeout)
-            if move_count != self._move_count:
-                return  # another task sends to the new address
-            if status == 400 and len(batch) > 1:  # bisects to find the rejected notice, so that it delays no others
-                batch_size = len(batch) // 2
-                continue
-            if status == 400:
-                logs.error("notice-refused", notice=batch[0][0])
-            elif status is None or not 200 <= status < 300:
-                logs.warn("notices-unheard", status=status, owed=len(self._pending), again_ms=delay // MS)
-                self.loop.sleep(delay)
-                if move_count != self._move_count:
-                    return
-                delay, timeout = min(MAX_RETRY_DELAY, 2 * delay), min(MAX_RESPONSE_TIMEOUT, 2 * timeout)
-                continue
-            delay, timeout, batch_size = (
-                INITIAL_RETRY_DELAY,
-                INITIAL_RESPONSE_TIMEOUT,
-                min(MAX_BATCH_SIZE, 2 * batch_size),
-            )
-            del self._pending[: len(batch)]
-            for _, acknowledged in batch:
-                acknowledged.resume()
-        self._sending = False
-
-    def has_pending(self) -> bool:
-        """Whether a notice still has to be sent or acknowledged."""
-        return bool(self._pending)
+        """Sends notices when they are due, until there are none."""
+        take_youngest = False
+        try:
+            while self._queue:
+                self._await_due()
+                if not self._queue or self._queue.next_due_at() > self.loop.now:
+                    continue
+                # Alternately, as either the old or the young connections may be silent.
+                take_youngest = self._queue.has_unanswered() and not take_youngest
+                connection = self._spares.take(take_youngest)
+                if connection is None:
+                    self._spares.wait(self.loop.now + SPARE_WAIT)
+                    continue
+                batch = self._queue.take_batch(self.loop.now)
+                self.loop.spawn(self._send, connection, batch, self._move_count)
+                if self._spares.scarce and not self._queue.has_halves:
+                    self.loop.sleep(SCARCE_INTERVAL)
+        finally:
+            self._sending = False
+
+    def _await_due(self) -> None:
+        due_at = self._queue.next_due_at()
+        if due_at <= self.loop.now:
+            return
+        self._idle = Suspension(self.loop)
+        self.loop.park(self._idle, due_at)
+        self._idle = None
 
-    def _post(self, body: bytes, timeout: int) -> int | None:
-        """Posts a batch on a connection of its own; returns the status of the response.
+    def _send(self, connection: Stream, batch: Batch, move_count: int) -> None:
+        """Sends one request on a connection of its own, and handles its response.
 
         The response names no request: on a connection that has carried one before, a late copy of an earlier response
-        would acknowledge notices that the platform has not taken. Returns None if the request failed or the platform's
-        address changed, as the batch then has to be sent again. ``timeout``, in microseconds, is for connecting, the
-        request and the response together.
+        would acknowledge notices that the platform has not taken.
         """
-        deadline, move_count = self.loop.now + timeout, self._move_count
-        sock = connect(self.loop, self.address, deadline)
-        if sock is None:
-            return None
-        stream = Stream(self.loop, sock, self.buffers)
+        started_at = self.loop.now
+        status = self._post(connection, "".join(notice.line + "\n" for notice in batch).encode())
         if move_count != self._move_count:
-            stream.close()
-            return None
-        self._stream = stream  # so that ``move`` can close it
+            return
+        self._spares.release(connection)
+        if status is not None and 200 <= status < 300:
+            self._settle(batch)
+        elif status == 400 and len(batch) > 1:
+            self._queue.split(batch)
+        elif status == 400:
+            logs.error("notice-refused", notice=batch[0].line)
+            self._settle(batch)
+        else:
+            owed = self._queue.retry(batch, self.loop.now)
+            logs.event(
+                "notices-unheard",
+                logs.WARNING if owed else logs.DEBUG,  # others have acknowledged them meanwhile
+                status=status,
+                notices=len(batch),
+                owed=owed,
+                after_ms=(self.loop.now - started_at) // MS,
+            )
+        self._wake()
+
+    def _settle(self, batch: Batch) -> None:
+        for notice in self._queue.settle(batch):
+            notice.settled.resume()
+
+    def _post(self, connection: Stream, body: bytes) -> int | None:
+        """Posts a batch; returns the status of the response, None if there was none in time."""
+        deadline = self.loop.now + RESPONSE_TIMEOUT
+        headers = {"Content-Type": "application/x-ndjson", "Connection": "close"}
         try:
-            headers = {"Content-Type": "application/x-ndjson", "Connection": "close"}
-            stream.write(parser.request("POST", "/reports", "app.svc", headers, body), deadline)
-            status: int | None = parser.read_head(stream, deadline, response=True).status
+            connection.write(parser.request("POST", "/reports", "app.svc", headers, body), deadline)
+            return parser.read_head(connection, deadline, response=True).status
         except (ConnectionClosedError, DeadlineExceededError, parser.MalformedMessageError):
-            status = None
-        stream.close()
-        if move_count != self._move_count:
             return None
-        self._stream = None
-        return status
--- a/kestrelspar/serve.py
+++ b/kestrelspar/serve.py
@@ -18,7 +18,7 @@
 from kestrelspar.core.courier import Courier
 from kestrelspar.core.transport_map import NextHop
 from kestrelspar.http.nexthop import HttpCarrier
-from kestrelspar.http.notices import Notices
+from kestrelspar.http.notices import Notices, max_connections
 from kestrelspar.http.sender import SenderServer
 from kestrelspar.http.watch import MAX_REMOVALS_BYTES, Watch
 from kestrelspar.journal import Journal
@@ -234,7 +234,8 @@
     and files, so that clients which use up their share cannot block these. ``slots`` is counted twice: for an attempt
     and for the rest of an earlier response. With a very small limit, the minimums of 8 and 4 may exceed it.
     """
-    rest = sockets - 2 * slots - max(16, min(32, sockets // 4), sockets // 16)
+    others = max(16, min(32, sockets // 4), sockets // 16)
+    rest = sockets - 2 * slots - others - max_connections(sockets)
     idle = max(4, min(sockets // 4, rest // 2))
     return max(MIN_CLIENT_CONNECTIONS, rest - idle), idle
 
@@ -269,7 +270,7 @@
     courier = Courier(loop, config.settings, config.seed, journal)
     max_clients, max_idle = split_descriptors(config.sockets, config.settings.slots)
     carrier = HttpCarrier(loop, buffers, config.settings, max_idle)
-    notices = Notices(loop, buffers, config.discovery)
+    notices = Notices(loop, buffers, config.discovery, max_connections(config.sockets))
     courier.senders[notices.name] = notices
     courier.busy_checks.append(notices.has_pending)
     reserved_descriptors = config.sockets - max_clients
@@ -332,6 +333,7 @@
     if startup.keys is not None:
         loop.spawn(startup.keys.watch, loop)
     loop.spawn(watch.run)
+    loop.spawn(notices.open_connections)
     front_ends.append(partial(_open_front_end, loop, listener, server.accept))
     loop.spawn(_open_front_ends, courier, front_ends, config)
     gc.freeze()
--- a/kestrelspar/smpp/inbound.py
+++ b/kestrelspar/smpp/inbound.py
@@ -97,6 +97,10 @@
         """See ``core.courier``; always false, as messages from gateways are never held back."""
         return False
 
+    def report_time(self, time_left: int) -> int:
+        """Always 0: nobody waits for a report."""
+        return 0
+
     def report_end(self, message: Message, end: End) -> None:
         """Log a message that was not delivered; the gateway got its response when the message was accepted."""
         if end.state != DELIVERED:
--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -13,7 +13,17 @@
 
 import ujson
 
-from kestrelspar.core.courier import DELIVERED, FAILED, Answer, Courier, End, Message, RefusalReason
+from kestrelspar.core.courier import (
+    DELIVERED,
+    FAILED,
+    REPORT_TIME,
+    Answer,
+    Courier,
+    End,
+    Message,
+    RefusalReason,
+    default_report_time,
+)
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
 from kestrelspar.runtime.loop import MS, SECOND, TIMED_OUT, Loop, Suspension, Timer, close_socket, connect
@@ -34,6 +44,7 @@
 MIN_UNBOUND_AGE = 50 * MS  # a younger connection is not closed to make room, as it may be about to bind
 OUTBIND_INTERVAL = 5 * SECOND  # minimum time between two outbinds to one account
 MAX_REFUSED_BINDS = 3  # refused binds and outbinds after which a connection is closed
+EXPIRED_MARGIN = REPORT_TIME + 100 * MS  # an end that is decided so long before a message's deadline counts as expired
 INITIAL_RETRY_DELAY, MAX_RETRY_DELAY = 100 * MS, 5 * SECOND  # before a receipt is sent again
 RECEIVER_STATES = (SessionState.RX, SessionState.TRX)
 MAX_SCHEDULE_DELAY = 30 * 86_400 * SECOND  # a later schedule_delivery_time is refused
@@ -733,6 +744,10 @@
                 return pdu.reply(Status.ESME_RREPLACEFAIL)
         return pdu.reply()
 
+    def report_time(self, time_left: int) -> int:
+        """See ``SenderSide``."""
+        return default_report_time(time_left)
+
     def report_end(self, message: Message, end: End) -> None:
         """Record the final state for query_sm, and send the requested receipts.
 
@@ -740,8 +755,8 @@
         no state is recorded.
         """
         self._unregister_open(message)
-        # A message counts as expired from 100 ms before its deadline, and a part that was not reassembled always does.
-        expired = self.loop.now >= message.deadline - 100 * MS or "part" in message.extra
+        # A part that was not reassembled always counts as expired.
+        expired = self.loop.now >= message.deadline - EXPIRED_MARGIN or "part" in message.extra
         if self.config.keep_ended:
             number, _ = status_codes.receipt_state(end, expired)
             record = {"state": number, "at": int(time.time()), "source": message.extra["smpp"]["source_addr"]}
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -52,6 +52,9 @@
     def recover(self, message: Message) -> bool:
         return False
 
+    def report_time(self, time_left: int) -> int:
+        return 0
+
     def report_end(self, message: Message, end: End) -> None:
         self.ends.append((message.trace, end.state))
 
