Lab: stand-ins of a rig listen in its own block of ports, not on ephemeral ones

Cause: member systems, discovery and relays listened on ephemeral ports. When one test closes its discovery while its courier goes on asking, the port may go to a member system of another run at the same time. Provoked: a courier whose discovery address is that of another rig's member system sends it requests without a trace id (a trial, 3 s); the run that failed has no trace, so that it was this is inferred. Couriers' own ports already came from the block. The test of the ports fails before.

--- a/kestrelspar/lab/response_relay.py
+++ b/kestrelspar/lab/response_relay.py
@@ -55,6 +55,7 @@
         seed: int,
         faults: CopyFaults | None = None,
         connection_faults: ConnectionFaults | None = None,
+        listener: socket.socket | None = None,
     ) -> None:
         self.loop, self.upstream, self.faults = loop, upstream, faults or CopyFaults()
         self.connection_faults = connection_faults or ConnectionFaults()
@@ -63,7 +64,7 @@
         self._random = random.Random(seed)
         self._silent: list[Stream] = []  # connections that never come up, kept open
         self._buffers = BufferPool(2048)
-        self._listener = free_listener()
+        self._listener = listener or free_listener()
         self.address = "{}:{}".format(*self._listener.getsockname())
         loop.spawn(accept, loop, self._listener, self._buffers, self._relay)
 
--- a/kestrelspar/lab/rig.py
+++ b/kestrelspar/lab/rig.py
@@ -32,6 +32,7 @@
 from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
 from kestrelspar.runtime.loop import MS, SECOND, Loop, connect
 from kestrelspar.standins import platform
+from kestrelspar.standins.server import free_listener
 
 KEY = "a key that all couriers of the rig have"
 READY_TIMEOUT = 20 * SECOND
@@ -114,9 +115,10 @@
         rng: random.Random,
         call_faults: dict[str, CallFaults],
         calls_out: dict[str, list[Stream]] | None = None,
+        listener: socket.socket | None = None,
     ) -> None:
         """``calls_out``: the connections of the calls that are out at any system, by message id; None: at this one."""
-        super().__init__(loop)
+        super().__init__(loop, listener)
         self._calls_out = {} if calls_out is None else calls_out
         self.timed_loop = loop
         self.limit, self.latency, self.call_faults, self._rng = limit, latency, call_faults, rng
@@ -314,6 +316,15 @@
                 sock.bind(address)
                 return address
 
+    def listen(self) -> socket.socket:
+        """Return a listening socket on an unused port of the block; raise ``StopIteration`` if it is exhausted.
+
+        On an ephemeral port, programs of other runs could call that still look for an earlier owner of the port.
+        """
+        while True:
+            with suppress(OSError):
+                return free_listener(("127.0.0.1", next(self._remaining)))
+
     def close(self) -> None:
         """Release the block."""
         self._reservation.close()
@@ -369,8 +380,9 @@
         self.buffers = BufferPool(2048)
         self.call_faults: dict[str, CallFaults] = {}  # by courier
         calls_out: dict[str, list[Stream]] = {}
+        self.ports = ports = Ports()
         self.members = {
-            name: Member(self.loop, limit, latency, self.rng, self.call_faults, calls_out)
+            name: Member(self.loop, limit, latency, self.rng, self.call_faults, calls_out, ports.listen())
             for name, limit in limits.items()
         }
         self.groups = groups or {name: number for number, name in enumerate(limits, 1)}
@@ -389,13 +401,13 @@
                 }
                 for name, member in self.members.items()
             ],
+            ports.listen(),
         )
         self.discovery.on_notice = self._receive_notice
         self.discovery_address = self.discovery.address  # as the couriers are told it
         self.submissions: dict[str, Submission] = {}
         self.nodes: dict[str, CourierProcess] = {}
         self.brokers: dict[str, CourierProcess] = {}  # filled by zones.py
-        self.ports = ports = Ports()
         for number in range(couriers):
             name = f"n{number}"
             (directory / name).mkdir()
@@ -593,7 +605,11 @@
         relays = []
         for row in self.discovery.rows:
             host, _, port = str(row["address"]).partition(":")
-            relays.append(ResponseRelay(self.loop, (host, int(port)), self.rng.getrandbits(32), faults))
+            relays.append(
+                ResponseRelay(
+                    self.loop, (host, int(port)), self.rng.getrandbits(32), faults, listener=self.ports.listen()
+                )
+            )
             row["address"] = relays[-1].address
         return relays
 
@@ -602,7 +618,9 @@
     ) -> ResponseRelay:
         """Put a relay in front of discovery and its reports, as ``relay_members``."""
         host, _, port = self.discovery.address.partition(":")
-        relay = ResponseRelay(self.loop, (host, int(port)), self.rng.getrandbits(32), faults, connection_faults)
+        relay = ResponseRelay(
+            self.loop, (host, int(port)), self.rng.getrandbits(32), faults, connection_faults, self.ports.listen()
+        )
         self.discovery_address = relay.address
         return relay
 
--- a/kestrelspar/standins/platform.py
+++ b/kestrelspar/standins/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import socket
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -79,8 +80,8 @@
 class Server:
     """HTTP server on loopback; ``reply`` returns the whole response, or None to close the connection without one."""
 
-    def __init__(self, loop: Loop) -> None:
-        self.loop, self.buffers, self.listener = loop, BufferPool(2048), free_listener()
+    def __init__(self, loop: Loop, listener: socket.socket | None = None) -> None:
+        self.loop, self.buffers, self.listener = loop, BufferPool(2048), listener or free_listener()
         self.address = "{}:{}".format(*self.listener.getsockname())
         loop.spawn(accept, loop, self.listener, self.buffers, self._serve)
 
@@ -110,8 +111,8 @@
     ``notices`` collects them.
     """
 
-    def __init__(self, loop: Loop, rows: list[dict[str, Any]]) -> None:
-        super().__init__(loop)
+    def __init__(self, loop: Loop, rows: list[dict[str, Any]], listener: socket.socket | None = None) -> None:
+        super().__init__(loop, listener)
         self.rows, self.index = rows, 1
         self.notices: list[dict[str, Any]] = []
         self.on_notice: Callable[[dict[str, Any]], None] = self.notices.append
--- a/kestrelspar/standins/server.py
+++ b/kestrelspar/standins/server.py
@@ -9,10 +9,11 @@
 from kestrelspar.runtime.loop import Loop
 
 
-def free_listener() -> socket.socket:
-    """A non-blocking listening socket on a free port of the loopback address."""
+def free_listener(address: tuple[str, int] = ("127.0.0.1", 0)) -> socket.socket:
+    """A non-blocking listening socket, by default on a free port of the loopback address."""
     sock = socket.socket()
-    sock.bind(("127.0.0.1", 0))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(address)
     sock.listen(512)
     sock.setblocking(False)
     return sock
--- a/tests/lab/test_rig.py
+++ b/tests/lab/test_rig.py
@@ -16,6 +16,7 @@
 import pytest
 
 from kestrelspar.lab import checkers
+from kestrelspar.lab.response_relay import CopyFaults
 from kestrelspar.lab.rig import KEY, Ports, Rig
 from kestrelspar.peers.status_socket import query_status
 from kestrelspar.runtime.loop import MS, SECOND
@@ -251,3 +252,14 @@
     second = Ports()
     assert second.allocate(socket.SOCK_STREAM) == address
     second.close()
+
+
+def test_no_stand_in_of_a_rig_listens_on_an_ephemeral_port(tmp_path: Path) -> None:
+    # Couriers of another run called a member system on a port that their discovery had had before.
+    first_ephemeral = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    with Rig(tmp_path, 1, 1, {"m1": 10, "m2": 10}) as rig:
+        rig.relay_members(CopyFaults())
+        rig.relay_discovery(CopyFaults())
+        addresses = [str(row["address"]) for row in rig.discovery.rows] + [rig.discovery_address]
+        addresses += [member.address for member in rig.members.values()]
+        assert all(int(address.rpartition(":")[2]) < first_ephemeral for address in addresses)
