--- a/tests/journal/test_read.py
+++ b/tests/journal/test_read.py
@@ -156,5 +156,6 @@
     path.write_bytes(before[:60] + b"\0\0\0" + before[63:] + b"half")
     bad = run_command("verify", *state)
     assert bad.returncode == 1 and f"{path}:" in bad.stderr and "4 bytes torn" in bad.stdout
-    missing = run_command("verify", "--state", str(tmp_path.parent))
+    (tmp_path / "empty").mkdir()
+    missing = run_command("verify", "--state", str(tmp_path / "empty"))
     assert missing.returncode == 1 and "No such file" in missing.stderr
