SMPP: a gateway that answers no query makes no end late

With outcome receipt, the gateway is asked for the outcome 1 s before the deadline, each part of a long message in turn, 0.4 s each; six parts ended 1.4 s after the time. Cause: the queries had a time-out each and no common deadline; attempts that queue for a session also ran until the deadline itself, which left their report no time. Fix: Message.decide_by, the deadline less the time for the report, bounds queries, queueing attempts and the wait for a call that is still out. Evidence: the test fails before (1.4 s late), passes now; tests/smpp, tests/test_smpp.py and tests/core pass.

--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -70,6 +70,12 @@
     number: int = 0  # number in the journal
     # Earliest time of the first attempt; 0: at once. The delivery timeout counts from it, or from a later acceptance.
     start: int = 0
+    report_time: int = 0  # microseconds at the end of its time that are kept for the report of its end
+
+    @property
+    def decide_by(self) -> int:
+        """Latest time at which its end should be decided, so that the report of that arrives in time."""
+        return self.deadline - self.report_time
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,7 +192,7 @@
         """Wait for the message's outcome, also after a restart; report it by ``Courier.outcome_received``."""
 
     def query_outcome(self, message: Message, awaits: dict[str, Any]) -> str:
-        """Query the outcome if there is time before the deadline, which is near; returns the final state."""
+        """Query the outcome until ``message.decide_by``, which is near; returns the final state."""
 
     def stop_waiting(self, message: Message) -> None:
         """Called when the message no longer waits for an outcome."""
@@ -320,6 +326,7 @@
             return False
         earliest = max(self.loop.now, message.start)
         message.deadline = min(message.deadline, earliest + self.map.delivery_timeout(message.dest))
+        message.report_time = message.sender.report_time(max(0, message.deadline - earliest))
         self._last_number += 1
         message.number = self._last_number
         text = ujson.dumps(self._journal_fields(message))
@@ -353,6 +360,7 @@
         self._last_number += 1
         whole.number = self._last_number
         whole.extra["joined"] = [part.number for part in parts]
+        whole.report_time = min(part.report_time for part in parts)
         if not self.journal.record_accepted(
             whole.number, whole.deadline, ujson.dumps(self._journal_fields(whole)), whole.body
         ):
@@ -384,8 +392,7 @@
                 self._end(message, End(WITHDRAWN))
                 return
             self._parked.pop(message.number, None)
-        left = max(0, message.deadline - self.loop.now)
-        time_for_attempts = left - message.sender.report_time(left)
+        time_for_attempts = max(0, message.decide_by - self.loop.now)
         action = self._next_action(
             message.number,
             api.Arrival(
@@ -501,7 +508,7 @@
         """
         self.attempts_in_flight += 1
         try:
-            result = outstanding.wait(min(message.deadline, self.loop.now + action.timeout_ns // NS_PER_US))
+            result = outstanding.wait(min(message.decide_by, self.loop.now + action.timeout_ns // NS_PER_US))
         finally:
             self.attempts_in_flight -= 1
         if result is None:
@@ -570,9 +577,9 @@
     def _register_awaiting(self, message: Message, source: str, awaits: dict[str, Any]) -> None:
         self._awaiting[message.number] = message, source, awaits
         self.outcome_sources[source].expect(message, awaits)
-        left = max(0, message.deadline - self.loop.now)
+        left = max(0, message.decide_by - self.loop.now)
         self.loop.call_at(
-            message.deadline - min(OUTCOME_QUERY_MARGIN, left // 2),
+            message.decide_by - min(OUTCOME_QUERY_MARGIN, left // 2),
             lambda: self.loop.spawn(self._overdue, message.number),
         )
 
@@ -824,6 +831,7 @@
         )
         if "lead" in text:  # time from ``start`` to the deadline, which is converted to this process's clock
             message.start = entry.deadline - int(text["lead"])
+        message.report_time = message.sender.report_time(max(0, message.deadline - max(self.loop.now, message.start)))
         return message
 
     # Queries and changes by the sender side
--- a/kestrelspar/smpp/client.py
+++ b/kestrelspar/smpp/client.py
@@ -221,8 +221,8 @@
         """Wait for a session with room, send one submit_sm, and return its outcome."""
         started_at, timeout = self.loop.now, max(0, deadline - self.loop.now)
         # The time-out starts when the submit is sent, so that time spent waiting for a session does not count.
-        bound = link.acquire(max(deadline, min(started_at + MAX_QUEUE_TIME, message.deadline - timeout)))
-        waited, deadline = self.loop.now - started_at, min(message.deadline, self.loop.now + timeout)
+        bound = link.acquire(max(deadline, min(started_at + MAX_QUEUE_TIME, message.decide_by - timeout)))
+        waited, deadline = self.loop.now - started_at, min(message.decide_by, self.loop.now + timeout)
         if bound is None:
             wait = max(0, link.backoff.retry_at - self.loop.now)
             return Result(Outcome.CONNECT_FAILED, wait, note="no session")
@@ -314,10 +314,14 @@
             return ends[0]
         return FAILED  # some parts were or may have been delivered
 
+    def _query_deadline(self, message: Message) -> int:
+        return min(self.loop.now + QUERY_TIMEOUT, message.decide_by)
+
     def _query_or_cancel(self, link: Link, message: Message, message_id: str) -> str:
         """Query the final state of one part by query_sm; if that yields none, cancel the part by cancel_sm.
 
-        Returns FAILED if the part is not cancelled either, if a response is missing, or without a session or an id.
+        Returns FAILED if the part is not cancelled either, if a response is missing, without a session or an id, or if
+        the time is up.
         """
         submitted = message.extra.get("smpp", {})
         source = {
@@ -333,18 +337,18 @@
         bound = next(
             (bound for bound in link.sessions if bound.open and bound.session.state in BOUND_STATES.values()), None
         )
-        if bound is None or not message_id:
+        if bound is None or not message_id or self.loop.now >= message.decide_by:
             return FAILED
         try:
             response = bound.session.request(
-                Pdu(Command.QUERY_SM, fields={"message_id": message_id, **source}), self.loop.now + QUERY_TIMEOUT
+                Pdu(Command.QUERY_SM, fields={"message_id": message_id, **source}), self._query_deadline(message)
             )
             state = response.number("message_state")
             if response.command is Command.QUERY_SM_RESP and not response.status and state in receipts.FINAL_STATES:
                 return receipts.FINAL_STATES[State(state)]
             response = bound.session.request(
                 Pdu(Command.CANCEL_SM, fields={"message_id": message_id, **source, **dest}),
-                self.loop.now + QUERY_TIMEOUT,
+                self._query_deadline(message),
             )
         except (NotSentError, SessionLostError, DeadlineExceededError, ValueError):
             return FAILED
--- a/tests/smpp/test_receipts.py
+++ b/tests/smpp/test_receipts.py
@@ -7,11 +7,12 @@
 import pytest
 
 from kestrelspar.journal import Journal
-from kestrelspar.runtime.loop import MS
+from kestrelspar.runtime.loop import MS, SECOND
+from kestrelspar.smpp import pdu as p
 from kestrelspar.smpp import receipts
 from kestrelspar.smpp.pdu import Command, Pdu, State, Status
 from kestrelspar.smpp.receipts import ReceiptTracker, normalized_id, parse
-from tests.smpp.test_operations import submit
+from tests.smpp.test_operations import exchange, submit
 from tests.smpp_standins import StandInContractor, StandInGateway, gateway
 from tests.test_smpp import SmppTestbed
 
@@ -182,6 +183,25 @@
     assert contractor.final_states() == {message_id: {state}} and len(gate.submits) == 2
 
 
+def test_a_gateway_that_answers_no_query_makes_no_end_late(tmp_path: Path) -> None:
+    testbed, gate, contractor = open_testbed(tmp_path, split="sar")
+    gate.message_id_for = lambda pdu: str(len(gate.submits))
+
+    def hang(pdu: Pdu) -> Pdu:
+        testbed.loop.sleep(60 * SECOND)
+        return pdu.reply(Status.ESME_RQUERYFAIL)
+
+    gate.answer_query = hang
+    started_at = testbed.loop.now
+    text = (p.MESSAGE_PAYLOAD, b"x" * 800)  # six parts, each of which is asked for
+    fields = {"source_addr": "100", "destination_addr": "3725550", "registered_delivery": 1}
+    answer = exchange(testbed, contractor, Command.SUBMIT_SM, b"", [text], service_type="RD", **fields)
+    message_id = answer.text("message_id")
+    wait_for_acceptance(testbed, gate)
+    testbed.run_until(lambda: message_id in contractor.final_states())
+    assert testbed.loop.now - started_at < testbed.courier.settings.classes[0].deadline_ns // 1000
+
+
 def test_messages_awaiting_a_receipt_are_not_cancelled_and_take_no_slot(tmp_path: Path) -> None:
     testbed = SmppTestbed(tmp_path, slots=1)
     gate = StandInGateway(testbed)
