SMPP: parts that can't be journalled as one message end in time

Fix: the last try is at decide_by of the first part; parts of incomplete messages end by decide_by as well. Evidence: the test fails before, passes now.

--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -42,6 +42,7 @@
 from kestrelspar.smpp.table import BOUND_STATES, SessionState, Side
 
 MIN_UNBOUND_AGE = 50 * MS  # a younger connection is not closed to make room, as it may be about to bind
+MIN_PART_REPORT_TIME = 200 * MS  # left of a part's time when a message that lacks others is given up
 OUTBIND_INTERVAL = 5 * SECOND  # minimum time between two outbinds to one account
 MAX_REFUSED_BINDS = 3  # refused binds and outbinds after which a connection is closed
 EXPIRED_MARGIN = REPORT_TIME + 100 * MS  # an end that is decided so long before a message's deadline counts as expired
@@ -410,11 +411,8 @@
         if disposition is PartDisposition.REPEATED:  # submitted twice at the same time, and both accepted
             self._fail_part(message)
             return
-        # An incomplete message expires 200 ms before the deadline of its parts, so that their final states are reported
-        # in time.
-        complete = self._reassembler.add(
-            self.loop.now, key, part, message.number, len(message.body), message.deadline - 200 * MS
-        )
+        expires_at = min(message.decide_by, message.deadline - MIN_PART_REPORT_TIME)
+        complete = self._reassembler.add(self.loop.now, key, part, message.number, len(message.body), expires_at)
         if complete is not None:
             self._reassemble([self._held_parts[number] for number in complete.numbers])
         else:
@@ -441,7 +439,7 @@
     def _reassemble(self, held: list[Message]) -> None:
         """Replace the parts by one message, which owes a receipt for each of them.
 
-        If the journal has no room for it, this is repeated each second; at the deadline the parts fail.
+        If the journal has no room for it, this is repeated each second; the parts fail in time for their reports.
         """
         first = held[0]
         fields = first.extra["smpp"] | {"esm_class": first.extra["smpp"]["esm_class"] & ~parts.UDHI}
@@ -465,11 +463,12 @@
             start=max(m.start for m in held),
         )
         if not self.courier.join(reassembled, held):
-            if self.loop.now >= reassembled.deadline:
+            decide_by = min(part.decide_by for part in held)
+            if self.loop.now >= decide_by:
                 for part in held:
                     self._fail_part(part)
                 return
-            self.loop.call_at(self.loop.now + SECOND, lambda: self._reassemble(held))
+            self.loop.call_at(min(decide_by, self.loop.now + SECOND), lambda: self._reassemble(held))
             return
         for part in held:
             self._held_parts.pop(part.number, None)
--- a/tests/smpp/test_parts.py
+++ b/tests/smpp/test_parts.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from kestrelspar.runtime.loop import SECOND
+from kestrelspar.runtime.loop import MS, SECOND
 from kestrelspar.smpp import parts
 from kestrelspar.smpp import pdu as p
 from kestrelspar.smpp.alphabets import encode_text
@@ -149,6 +149,20 @@
     assert submit_part(testbed, contractor, SAR, 9, 2).status == 0  # begins a new message
 
 
+def test_parts_that_cannot_be_journalled_as_one_message_end_in_time(tmp_path: Path) -> None:
+    testbed = SmppTestbed(tmp_path)
+    testbed.open(gateway(("127.0.0.1", 1)))
+    testbed.courier.join = lambda whole, parts: False  # type: ignore[method-assign]
+    contractor = testbed.contractor()
+    started_at = testbed.loop.now
+    for place in (1, 2):
+        submit_part(testbed, contractor, SAR, 9, place)
+    testbed.run_for(400 * MS)
+    submit_part(testbed, contractor, SAR, 9, 3)
+    testbed.run_until(lambda: len(contractor.receipts) == 3)
+    assert testbed.loop.now - started_at < testbed.courier.settings.classes[1].deadline_ns // 1000
+
+
 def test_parts_end_by_their_own_deadline_even_if_a_later_message_expires_first(tmp_path: Path) -> None:
     testbed = SmppTestbed(tmp_path)
     testbed.open(gateway(("127.0.0.1", 1)))
