A refused TCP_NODELAY no longer closes a client's connection, and blames no endpoint

Cause: setsockopt(TCP_NODELAY) that fails (ENOBUFS, EINVAL) closed the accepted connection with its request unread, over HTTP and SMPP; on a connection to an endpoint, EINVAL counted against the endpoint. Fix: disable_send_delay ignores it; without the option small writes may be sent a little later. One that fails as the client has reset the connection is noticed by the next read.

--- a/kestrelspar/http/sender.py
+++ b/kestrelspar/http/sender.py
@@ -15,7 +15,7 @@
 from kestrelspar.http import parser
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
-from kestrelspar.runtime.loop import BACKLOG, MS, SECOND, Loop, Suspension, close_socket
+from kestrelspar.runtime.loop import BACKLOG, MS, SECOND, Loop, Suspension, close_socket, disable_send_delay
 
 # From the connection's start or the last response to the first byte of a request: well-behaved clients open another
 # connection when they need one.
@@ -126,7 +126,7 @@
         """Start to serve a connection, unless it fails already, as one that the client has reset may."""
         try:
             sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            disable_send_delay(sock)
         except OSError as error:
             self._log_throttled("not-accepted", str(error))
             close_socket(self.loop, sock)
--- a/kestrelspar/runtime/loop.py
+++ b/kestrelspar/runtime/loop.py
@@ -262,6 +262,12 @@
         self.is_local = is_local
 
 
+def disable_send_delay(sock: socket.socket) -> None:
+    """Have small writes sent at once; if the system refuses that, some of them are sent later."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
 def dial(loop: Loop, address: tuple[str, int], deadline: int) -> socket.socket:
     """Open a TCP connection; ``ConnectError`` if that fails or the deadline, in microseconds, passes first."""
     try:
@@ -278,7 +284,7 @@
 
 def _connect(loop: Loop, sock: socket.socket, address: tuple[str, int], deadline: int) -> None:
     sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    disable_send_delay(sock)
     status = sock.connect_ex(address)
     if status in (errno.EINPROGRESS, errno.EINTR):  # after EINTR, the system goes on connecting
         if not loop.writable(sock, deadline):
--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -26,7 +26,17 @@
 )
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
-from kestrelspar.runtime.loop import MS, SECOND, TIMED_OUT, Loop, Suspension, Timer, close_socket, connect
+from kestrelspar.runtime.loop import (
+    MS,
+    SECOND,
+    TIMED_OUT,
+    Loop,
+    Suspension,
+    Timer,
+    close_socket,
+    connect,
+    disable_send_delay,
+)
 from kestrelspar.settings.resolve import Account, Smpp
 
 if TYPE_CHECKING:
@@ -154,7 +164,7 @@
                 continue
             try:
                 sock.setblocking(False)
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                disable_send_delay(sock)
             except OSError as error:  # the client may have reset it already
                 logs.warn("not-accepted", front="smpp", why=str(error))
                 close_socket(self.loop, sock)
--- a/tests/http/test_system_calls.py
+++ b/tests/http/test_system_calls.py
@@ -95,6 +95,14 @@
     assert testbed.talk(submit_request("last")).startswith(b"HTTP/1.1 202 ")
 
 
+@pytest.mark.parametrize("error", [errno.ENOBUFS, errno.EINVAL, errno.ENOMEM])
+def test_a_request_is_answered_although_the_system_refuses_a_socket_option(tmp_path: Path, error: int) -> None:
+    testbed = HttpTestbed(tmp_path, ok)
+    FailingSocket.failures["setsockopt"] = error, 3
+    answers = [testbed.talk(submit_request(f"t{number}")) for number in range(4)]
+    assert all(answer.startswith(b"HTTP/1.1 202 ") for answer in answers)
+
+
 @pytest.mark.parametrize("error", LOCAL_ERRORS)
 def test_a_connection_that_this_machine_can_not_make_is_retried_and_blames_no_endpoint(
     tmp_path: Path, error: int
