--- a/kestrelspar/cli/lab.py
+++ b/kestrelspar/cli/lab.py
@@ -17,7 +17,7 @@
 from kestrelspar.cli.main import CommandError, ConfigurationError
 from kestrelspar.cli.units import DURATION
 from kestrelspar.lab import run as scenario_run
-from kestrelspar.lab import scale, scenario
+from kestrelspar.lab import scale, scenario, soak, soak_plan
 from kestrelspar.lab.plan import FAULTS, RunParameters, plan_run, plan_simulation
 from kestrelspar.lab.simulated_scale import run as run_simulated
 
@@ -81,6 +81,59 @@
     console.print(f"{report['served']:.1%} of the messages were executed; no errors found.")
 
 
+@verb.command("soak")
+@click.option("--seed", "first", type=click.IntRange(0), default=1, show_default=True, help="Seed of the first run.")
+@click.option("--runs", type=click.IntRange(1), default=1, show_default=True, help="Number of runs, each its seed.")
+@click.option("--faults", default="", help="Numbers of the faults to play, separated by commas; all by default.")
+@click.option("--shrink", "shrinks", is_flag=True, help="Find the fewest faults with which a run still breaks a rule.")
+def soak_command(first: int, runs: int, faults: str, shrinks: bool) -> None:
+    """Play drawn mixtures of faults on real couriers. Exit code 1 if a rule was broken.
+
+    \b
+    Example:
+      kestrelspar lab soak --seed 100 --runs 50
+    """
+    red = 0
+    for seed in range(first, first + runs):
+        plan = soak_plan.draw(seed)
+        if faults:
+            try:
+                plan = plan.only(map(int, faults.split(",")))
+            except ValueError as error:
+                raise ConfigurationError(ValueError(f"--faults: {faults!r} (wanted: numbers such as 0,3)")) from error
+        outcome = _play_soak(plan)
+        _print_soak(outcome)
+        if not outcome.violations:
+            continue
+        red += 1
+        numbers = ",".join(str(fault.number) for fault in plan.faults)
+        click.echo(f"  again: kestrelspar lab soak --seed {seed} --faults {numbers}")
+        if shrinks:
+            fewest = soak.shrink(plan, lambda smaller: bool(_play_soak(smaller).violations))
+            click.echo(f"  fewest faults: {','.join(str(fault.number) for fault in fewest.faults)}")
+    if red:
+        raise CommandError(f"{red} of {runs} runs broke a rule")
+
+
+def _play_soak(plan: soak_plan.SoakPlan) -> soak.Outcome:
+    with tempfile.TemporaryDirectory(prefix="kestrelspar-soak-") as directory:
+        return soak.SoakRun(plan, Path(directory)).play()
+
+
+def _print_soak(outcome: soak.Outcome) -> None:
+    record = outcome.record
+    accepted = sum(sent.status == 202 for sent in record.submissions.values())
+    click.echo(
+        f"seed {outcome.plan.seed}: {accepted} of {len(record.submissions)} messages accepted, "
+        f"{len(record.restarts)} restarts, latest end {outcome.latest_end:+.3f} s after a message's time, "
+        f"{len(outcome.violations)} violations"
+    )
+    if outcome.violations:
+        click.echo("\n".join(f"  fault {fault}" for fault in outcome.plan.faults))
+        click.echo("\n".join(f"  {each.rule.value}: {each.trace} {each.text}" for each in outcome.violations))
+        click.echo("\n".join(f"    {line}" for line in outcome.stories()))
+
+
 @verb.command("scale")
 @click.option(
     "--real", type=click.IntRange(0), default=2, show_default=True, help="Number of real couriers, each a process."
--- a/kestrelspar/lab/response_relay.py
+++ b/kestrelspar/lab/response_relay.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import random
+import select
 import socket
 import struct
 from contextlib import suppress
@@ -61,6 +62,9 @@
         self.connection_faults = connection_faults or ConnectionFaults()
         self.copies_made = 0  # also those whose connection was closed before they were due
         self.connections = self.faulty_connections = 0
+        # By the relay's address towards the server: when the first bytes came of a connection that came up late.
+        self.held_back: dict[tuple[str, int], int] = {}
+        self._first_bytes_at: dict[Stream, int] = {}
         self._random = random.Random(seed)
         self._silent: list[Stream] = []  # connections that never come up, kept open
         self._buffers = BufferPool(2048)
@@ -85,7 +89,19 @@
             return False
         if draw < faults.reset + faults.silent + faults.late:
             self.faulty_connections += 1
-            self.loop.sleep(self._random.randint(*faults.delay))
+            return self._come_up_late(client, self._random.randint(*faults.delay))
+        return True
+
+    def _come_up_late(self, client: Stream, delay: int) -> bool:
+        """Wait for the delay, and note when the first bytes came; false if the client has given up meanwhile."""
+        up_at = self.loop.now + delay
+        if self.loop.readable(client.sock, up_at):
+            self._first_bytes_at[client] = self.loop.now
+            self.loop.sleep(max(0, up_at - self.loop.now))
+        if _has_hung_up(client.sock):
+            self._first_bytes_at.pop(client, None)
+            client.close()
+            return False
         return True
 
     def _relay(self, client: Stream) -> None:
@@ -96,6 +112,8 @@
             client.close()
             return
         server = Stream(self.loop, sock, self._buffers)
+        if client in self._first_bytes_at:
+            self.held_back[sock.getsockname()] = self._first_bytes_at.pop(client)
         self.loop.spawn(self._forward_requests, client, server)
         self._forward_responses(server, client)
 
@@ -154,6 +172,13 @@
         client.close()
 
 
+def _has_hung_up(sock: socket.socket) -> bool:
+    """Whether the peer has closed or reset the connection, whatever bytes are still unread."""
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def _response_size(data: bytes) -> int | None:
     """The size in bytes of the complete response at the start of the data; None if there is none with a known end."""
     try:
--- a/kestrelspar/lab/rig.py
+++ b/kestrelspar/lab/rig.py
@@ -74,6 +74,7 @@
     accepted: bool
     unanswered: bool = False  # no answer was sent, as the member system was down or the answer was to be lost
     concurrent: bool = False  # an earlier call of the message was still out on an open connection when it arrived
+    sent_at: int = 0  # when its first byte was sent, as far as the rig knows; 0: at its arrival
     answered_at: int | None = None  # when status 200 was about to be written; None: never
 
 
@@ -127,6 +128,11 @@
         self.shut = False  # closes the connection on each call, which does not count as received
         self.refused = 0.0  # share of the calls below the limit that are refused all the same
         self.wait_until = 0  # until this time of the loop, calls are refused with a Retry-After of the remaining time
+        self.collapses = True  # whether too many calls during a recovery begin a new outage
+        # Each Retry-After at its first call from a courier: the courier, the time, and until when it is to wait.
+        self.told_waits: list[tuple[str, int, int]] = []
+        # By the caller's address: when the first bytes came to a relay that held them back.
+        self.held_back: dict[tuple[str, int], int] = {}
         self.early_calls: list[Call] = []  # calls that arrived before their courier's Retry-After had passed
         self.overloads: list[int] = []  # times at which it was overloaded while recovering
         # By courier: when it was first sent the current Retry-After, and until when it is to wait.
@@ -181,12 +187,17 @@
         accepted = (self._remaining_share() > 0 or not self._accepted_at) and self._rng.random() >= self.refused
         out = self._calls_out.setdefault(trace, [])
         call = Call(self.loop.now, trace, courier, accepted, concurrent=any(not other.peer_closed() for other in out))
+        call.sent_at = self.held_back.pop(stream.sock.getpeername(), 0)
         self.calls.append(call)
         out.append(stream)
         try:
-            return self._answer(call)
+            response = self._answer(call)
         finally:
             out.remove(stream)
+        wait = self._waits.get(courier)
+        if wait is not None and wait[0] == self.loop.now and not stream.peer_closed():
+            self.told_waits.append((courier, *wait))
+        return response
 
     def _answer(self, call: Call) -> bytes | None:
         """The response to a call that has arrived; None to close the connection without one."""
@@ -199,7 +210,7 @@
             < until - RETRY_AFTER_RESOLUTION
         ):
             self.early_calls.append(call)
-        if not self.down and self._is_overloaded():
+        if not self.down and self._is_overloaded() and self.collapses:
             self.overloads.append(self.loop.now)
             self.down, self._recovering_since = True, None
             self.loop.call_at(self.loop.now + 2 * SECOND, self.up)
@@ -603,7 +614,7 @@
     def relay_members(self, faults: CopyFaults) -> list[ResponseRelay]:
         """Put a relay that copies responses in front of each member system; couriers that start after this use it."""
         relays = []
-        for row in self.discovery.rows:
+        for row, member in zip(self.discovery.rows, self.members.values(), strict=True):
             host, _, port = str(row["address"]).partition(":")
             relays.append(
                 ResponseRelay(
@@ -611,6 +622,7 @@
                 )
             )
             row["address"] = relays[-1].address
+            member.held_back = relays[-1].held_back
         return relays
 
     def relay_discovery(
--- a/kestrelspar/standins/platform.py
+++ b/kestrelspar/standins/platform.py
@@ -17,6 +17,7 @@
 from kestrelspar.standins.server import accept, free_listener
 
 CLASSES = ("reading", "work-order", "payment")
+SILENCE_CHECK_INTERVAL = 50 * MS
 NS_PER_US = 1_000  # nanoseconds in a microsecond, which is the loop's unit of time
 
 
@@ -116,6 +117,7 @@
         self.rows, self.index = rows, 1
         self.notices: list[dict[str, Any]] = []
         self.on_notice: Callable[[dict[str, Any]], None] = self.notices.append
+        self.silent = False  # requests for the list get no answer, and watches no lines; notices are acknowledged
         self.refuses_batch: Callable[[], bool] = lambda: False  # called with each batch; a refused one gets a 500
 
     def _list(self) -> bytes:
@@ -131,11 +133,18 @@
             for line in body.splitlines():
                 self.on_notice(ujson.loads(line))
             return parser.response(204)
+        while self.silent:
+            self.loop.sleep(SILENCE_CHECK_INTERVAL)
+            if stream.peer_closed():
+                return None
         if "watch=1" not in target:
             return parser.response(200, self._list())
         stream.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", self.loop.now + SECOND)
         sent_index = 0
         while not stream.peer_closed():
+            if self.silent:
+                self.loop.sleep(SILENCE_CHECK_INTERVAL)
+                continue
             line = self._list() + b"\n" if sent_index != self.index else b"\n"
             sent_index = self.index
             stream.write(b"%x\r\n%s\r\n" % (len(line), line), self.loop.now + SECOND)
