Notices: more connections ready, sooner repeats, and new configurations in a row lose none

Cause: each change of the address closed all connections and began from nothing; after a start six were ready, of which a burst of ends used all before their successors were up; a repeat waited for the 150 ms between requests. Fix: connections to an earlier address stay, for a change back, and requests under way go on uncounted; 16 are kept ready of 32 (before: 6 or 12 of 24); while a request is unanswered the next one goes out after 75 ms. A trial that also sent notices to the earlier address until the new one answered was taken back: a standing test forbids it.

--- a/kestrelspar/http/notices.py
+++ b/kestrelspar/http/notices.py
@@ -7,17 +7,18 @@
 from kestrelspar.core.courier import DELIVERED, End, Message, default_report_time
 from kestrelspar.http import parser
 from kestrelspar.http.notice_queue import Batch, Notice, NoticeQueue
-from kestrelspar.http.spare_connections import SpareConnections
+from kestrelspar.http.spare_connections import SpareConnection, SpareConnections
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
 from kestrelspar.runtime.loop import MS, SECOND, Loop, Suspension
 
 RESPONSE_TIMEOUT = 2 * SECOND  # for writing a request and reading its response
 SPARE_WAIT = 250 * MS  # for a connection to come up, before one more is opened
-# Between requests while fewer connections are ready than in demand, so that notices share one.
+# Between requests while not all spare connections are ready, so that notices share one.
 SCARCE_INTERVAL = 150 * MS
-MIN_CONNECTIONS, MAX_CONNECTIONS = 8, 24  # to the platform
-DESCRIPTORS_PER_CONNECTION = 20  # of the courier's limit
+REPEAT_INTERVAL = 75 * MS  # the same while a request is unanswered
+MIN_CONNECTIONS, MAX_CONNECTIONS = 8, 32  # to the platform
+DESCRIPTORS_PER_CONNECTION = 16  # of the courier's limit
 
 
 def max_connections(sockets: int) -> int:
@@ -42,15 +43,16 @@
         self._spares = SpareConnections(loop, buffers, address, connections)
         self._sending = False  # ``_send_pending`` runs
         self._idle: Suspension | None = None  # that task, while nothing is due
-        self._move_count = 0  # responses from an earlier address are ignored
 
     def open_connections(self) -> None:
         """Open the spare connections, before the first notice needs one."""
         self._spares.refill()
 
     def move(self, address: tuple[str, int]) -> None:
-        """Sends notices to another address from now on, beginning with the pending ones."""
-        self._move_count += 1
+        """Sends notices to another address from now on, beginning with the pending ones.
+
+        Requests to the earlier address go on, but acknowledge nothing any more.
+        """
         self._queue.make_due(self.loop.now)
         self._spares.move(address)
         self._wake()
@@ -102,9 +104,9 @@
                     self._spares.wait(self.loop.now + SPARE_WAIT)
                     continue
                 batch = self._queue.take_batch(self.loop.now)
-                self.loop.spawn(self._send, connection, batch, self._move_count)
+                self.loop.spawn(self._send, connection, batch)
                 if self._spares.scarce and not self._queue.has_halves:
-                    self.loop.sleep(SCARCE_INTERVAL)
+                    self.loop.sleep(REPEAT_INTERVAL if self._queue.has_unanswered() else SCARCE_INTERVAL)
         finally:
             self._sending = False
 
@@ -116,17 +118,27 @@
         self.loop.park(self._idle, due_at)
         self._idle = None
 
-    def _send(self, connection: Stream, batch: Batch, move_count: int) -> None:
+    def _send(self, connection: SpareConnection, batch: Batch) -> None:
         """Sends one request on a connection of its own, and handles its response.
 
         The response names no request: on a connection that has carried one before, a late copy of an earlier response
         would acknowledge notices that the platform has not taken.
         """
         started_at = self.loop.now
-        status = self._post(connection, "".join(notice.line + "\n" for notice in batch).encode())
-        if move_count != self._move_count:
-            return
+        if logs.is_enabled(logs.DEBUG):
+            logs.event(
+                "notices-sent",
+                logs.DEBUG,
+                to="{}:{}".format(*connection.address),
+                notices=len(batch),
+                first=batch[0].line,
+                rested_ms=(started_at - connection.came_up_at) // MS,
+                connections=self._spares.counts(),
+            )
+        status = self._post(connection.stream, "".join(notice.line + "\n" for notice in batch).encode())
         self._spares.release(connection)
+        if connection.address != self._spares.address:
+            return
         if status is not None and 200 <= status < 300:
             self._settle(batch)
         elif status == 400 and len(batch) > 1:
