--- a/benchmarks/registry.py
+++ b/benchmarks/registry.py
@@ -18,7 +18,8 @@
 from pathlib import Path
 from typing import Any
 
-from kestrelspar.core.courier import Answer, Courier, End, Message
+from kestrelspar.core.courier import Courier
+from kestrelspar.core.messages import Answer, End, Message
 from kestrelspar.http.nexthop import HttpCarrier
 from kestrelspar.journal import Journal
 from kestrelspar.registry.follower import Follower
--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -1,8 +1,7 @@
 """Protocol-independent core: the life cycle of a message, from submission to final answer.
 
-Front ends (HTTP, SMPP) use the types below: a front end submits messages and receives their final states
-(``SenderSide``), makes delivery attempts (``Carrier``), and reports changes of the transport map
-(``Courier.apply_map_update``).
+Front ends (HTTP, SMPP) submit messages and receive their final states (``front_ends.SenderSide``), make delivery
+attempts (``transport_map.Carrier``), and report changes of the transport map (``Courier.apply_map_update``).
 """
 
 from __future__ import annotations
@@ -10,22 +9,36 @@
 import dataclasses
 import time
 import traceback
-import zlib
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
-from enum import Enum
 from functools import partial
-from typing import Any, Protocol
+from typing import Any
 
 import ujson
 from msgspec.structs import replace
 
 from kestrelspar.core.answer_times import LATE_AFTER, AnswerSteps, AnswerTimes
-from kestrelspar.core.transport_map import Carrier, NextHop, TransportMap
+from kestrelspar.core.front_ends import Hook, OutcomeSource, Peers, SenderSide
+from kestrelspar.core.messages import (
+    ACCEPTED,
+    DELIVERED,
+    FAILED,
+    NEVER_RAN,
+    RETURNED,
+    WITHDRAWN,
+    Answer,
+    End,
+    EndedMessage,
+    Message,
+    OutstandingCall,
+    RefusalReason,
+    Result,
+    fingerprint,
+)
+from kestrelspar.core.transport_map import NextHop, TransportMap
 from kestrelspar.journal import Entry, Journal
 from kestrelspar.runtime import logs
-from kestrelspar.runtime.loop import MS, SECOND, Loop, Suspension
+from kestrelspar.runtime.loop import MS, Loop, Suspension
 from snowlock import Controller
 from snowlock import interface as api
 from snowlock.control import SMALL_FLEET_SIZE
@@ -35,169 +48,14 @@
 MIN_SHUTDOWN_TIME = 500 * MS  # minimum time between SIGTERM and exit: new connections may arrive for 400 ms
 LAST_ATTEMPT_START = 2_200 * MS  # after SIGTERM: an attempt that starts later might not end before the exit
 EXIT_TIMEOUT = 3_500 * MS  # after SIGTERM: latest time at which the exit calls are made; SIGKILL may come at 3.7 s
-DEFAULT_RETRY_AFTER = 1_000 * MS  # default retry-after delay of a deferred submission
 # Time left at which a missing outcome is queried and the message ends; at most half of that at the start of the wait.
 OUTCOME_QUERY_MARGIN = 1_000 * MS
-# Time for the report of an end, taken from the end of a message's time; at most that share of the time left.
-REPORT_TIME, MAX_REPORT_TIME_SHARE = 300 * MS, 0.05
 JOURNAL_RETRY_INTERVAL = 50 * MS  # between attempts to write to a journal that has failed
 BUDGET_WAIT_TIMEOUT = 500 * MS  # maximum wait of a call for room in the budget, before an endpoint is chosen anew
-# Outcomes that prove that the attempt did not run.
-NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.REJECTED)
 
-# Final states. A returned message may be submitted again under its id; a failed one may not.
-DELIVERED, FAILED, RETURNED = "delivered", "failed", "returned"
-WITHDRAWN = "withdrawn"  # cancelled by the sender side before it was ever sent
 _WITHDRAW = object()  # resumes the parked task of a withdrawn message
 
 
-@dataclass(slots=True)
-class Message:
-    """One message, independent of the protocol that it arrived by.
-
-    ``deadline`` and ``start`` are microseconds of the event loop's clock.
-    """
-
-    trace: str  # message id given by the sender side
-    cls: int  # index of its class in the settings
-    tenant: int  # index of its tenant in the settings
-    dest: int  # number of its destination
-    deadline: int
-    body: bytes
-    sender: SenderSide
-    key: str = ""  # idempotency key
-    extra: dict[str, Any] = field(default_factory=dict)  # data of the front end, JSON-serializable
-    number: int = 0  # number in the journal
-    # Earliest time of the first attempt; 0: at once. The delivery timeout counts from it, or from a later acceptance.
-    start: int = 0
-    report_time: int = 0  # microseconds at the end of its time that are kept for the report of its end
-
-    @property
-    def decide_by(self) -> int:
-        """Latest time at which its end should be decided, so that the report of that arrives in time."""
-        return self.deadline - self.report_time
-
-
-@dataclass(frozen=True, slots=True)
-class EndedMessage:
-    """An ended message, remembered for a while to recognize duplicate submissions."""
-
-    until: int  # time at which it is forgotten, in microseconds of the event loop's clock
-    state: str  # final state; empty for a part that was replaced by a joined message
-    fingerprint: tuple[int, int, int]
-
-
-class RefusalReason(Enum):
-    """Why a submission is refused. The values appear in logs and in answers to clients."""
-
-    CLOSING = "shutting down"
-    FULL = "holds as many messages as it may"
-    DISK = "journal full"
-    UNKNOWN_DEST = "unknown destination"
-    DUPLICATE = "this id was handed in before"
-    PLUGIN = "plug-in"
-    STALE = "the list of endpoints is too old:"
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """The answer to a submission: accepted, deferred (retry later), or rejected (do not retry)."""
-
-    accepted: bool
-    defer: bool = False
-    why: RefusalReason = RefusalReason.CLOSING  # without meaning in ``ACCEPTED``
-    text: str = ""
-    retry_after: int = DEFAULT_RETRY_AFTER  # of a deferred submission, in microseconds
-
-    @property
-    def reason(self) -> str:
-        """The reason as text, for logs and for clients."""
-        return f"{self.why.value} {self.text}".strip()
-
-
-ACCEPTED = Answer(True)
-
-
-class OutstandingCall(Protocol):
-    """A call that timed out and can't be withdrawn: it may still run, and be answered on its open connection."""
-
-    def wait(self, deadline: int) -> Result | None:
-        """Wait until the call is no longer out, at most until ``deadline``, in microseconds of the loop's clock.
-
-        Returns the call's result if a late response shows that it ran or may have run, MOOT at the deadline, and
-        None if the message may be sent again.
-        """
-
-
-@dataclass(frozen=True, slots=True)
-class Result:
-    """How a delivery attempt ended."""
-
-    outcome: Outcome
-    retry_after: int = 0  # retry-after delay in microseconds; 0: none
-    no_slot: bool = False  # with MOOT: the call was not forwarded, as no slot was free
-    already_answered: bool = False  # the message has its final answer: no further attempt, and no report of its end
-    report: tuple[float, ...] = ()  # load report of the endpoint, in the order of ``Settings.columns``; empty: none
-    note: str = ""
-    queued: int = 0  # microseconds in a queue before the first byte, excluded from the latency of the call
-    outstanding: OutstandingCall | None = None  # the call, if it is still out after its time-out
-    # Microseconds for which the connection had rested since its last call; None: this was its first call.
-    rested: int | None = None
-    # With OK, if the next hop has only accepted the message and its outcome follows: the name of the outcome source in
-    # ``Courier.outcome_sources``, and the data by which that source recognizes the outcome.
-    outcome_source: tuple[str, dict[str, Any]] | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class End:
-    """The final state of a message, as reported to its sender side."""
-
-    state: str
-    after_ms: int = 0  # retry-after delay of a returned message, in milliseconds
-
-
-def default_report_time(time_left: int) -> int:
-    """``SenderSide.report_time`` for reports that normally arrive within milliseconds."""
-    return min(REPORT_TIME, int(MAX_REPORT_TIME_SHARE * time_left))
-
-
-class SenderSide(Protocol):
-    """The front end that a message was submitted through."""
-
-    name: str
-
-    def report_time(self, time_left: int) -> int:
-        """How long before its deadline the end of a message is decided, so that its report arrives in time.
-
-        ``time_left`` until that deadline is in microseconds, as is the result, which is smaller.
-        """
-
-    def report_end(self, message: Message, end: End) -> None:
-        """Report the final state if this sender side needs a report; returns when no further report is needed."""
-
-    def recover(self, message: Message) -> bool:
-        """Called after a restart for each recovered message; true if the sender side delays its delivery.
-
-        The result has no effect on a message whose final state was journalled before the restart.
-        """
-
-
-class OutcomeSource(Protocol):
-    """A source of outcomes that arrive after a next hop has accepted a message, such as SMPP receipts.
-
-    ``awaits``: the data by which the source recognizes the outcome of a message.
-    """
-
-    def expect(self, message: Message, awaits: dict[str, Any]) -> None:
-        """Wait for the message's outcome, also after a restart; report it by ``Courier.outcome_received``."""
-
-    def query_outcome(self, message: Message, awaits: dict[str, Any]) -> str:
-        """Query the outcome until ``message.decide_by``, which is near; returns the final state."""
-
-    def stop_waiting(self, message: Message) -> None:
-        """Called when the message no longer waits for an outcome."""
-
-
 class _SendGuard:
     """The ``transport_map.SendGuard`` of one delivery attempt."""
 
@@ -214,49 +72,6 @@
         return self._may_send()
 
 
-class Peers(Protocol):
-    """Shares budgets with other couriers, and is notified of accepted and ended messages; optional.
-
-    ``is_retry``: true unless the call is the first attempt of its message.
-    """
-
-    def spend_budget(self, endpoint: api.EndpointId, is_retry: bool) -> bool:
-        """Take one call from this courier's share of the budget of the endpoint; false if none is left now."""
-
-    def wait_for_budget(self, endpoint: api.EndpointId, is_retry: bool, deadline: int) -> None:
-        """Wait until the budget has room for a call, at most until the given time."""
-
-    def attempt_ended(self, endpoint: api.EndpointId, result: Result, sent: int) -> None:
-        """Called when a call has ended; ``sent``: the time at which its wait for the budget ended."""
-
-    def message_accepted(self, message: Message) -> None:
-        """Called when ``Courier.accept`` has accepted a message; not for a joined or a recovered message."""
-
-    def message_ended(self, message: Message, end: End) -> None:
-        """Called right before a final state is reported to the sender side.
-
-        Not called if nothing is reported, nor for a final state that was journalled before a restart.
-        """
-
-
-class Hook(Protocol):
-    """A plug-in called when a message arrives and when it ends."""
-
-    def arrival(self, message: Message) -> Answer | None:
-        """Return an answer that defers or rejects the message, or None; may change the message.
-
-        After None, the next hook is called, and then the courier's other checks. Not called for duplicates.
-        """
-
-    def end(self, message: Message, end: End) -> None:
-        """Called with the final state of the message, in the same cases as ``Peers.message_ended``."""
-
-
-def _fingerprint(message: Message) -> tuple[int, int, int]:
-    """The values that are equal in two submissions under one id if they are the same message."""
-    return message.cls, message.dest, zlib.crc32(message.body, zlib.crc32(message.key.encode()))
-
-
 class Courier:
     """Owns the open messages, the transport map, the journal and the controller."""
 
@@ -693,7 +508,7 @@
         self.open.pop(message.number, None)
         until = self.loop.now + self._remember_for
         self._ended.append((until, message.trace))
-        self._known[message.trace] = EndedMessage(until, state, _fingerprint(message))
+        self._known[message.trace] = EndedMessage(until, state, fingerprint(message))
         self.journal.record_done(message.number)
 
     def _answer_duplicate(self, message: Message, before: Message | EndedMessage) -> Answer | None:
@@ -703,7 +518,7 @@
         if it is open or was delivered; no second copy is sent. A message that was returned may be submitted again. All
         else is rejected: a different message under the id, and one that failed, was withdrawn or was joined.
         """
-        if (before.fingerprint if isinstance(before, EndedMessage) else _fingerprint(before)) != _fingerprint(message):
+        if (before.fingerprint if isinstance(before, EndedMessage) else fingerprint(before)) != fingerprint(message):
             return Answer(False, False, RefusalReason.DUPLICATE)
         if isinstance(before, Message) or before.state == DELIVERED:
             return ACCEPTED
@@ -1024,6 +839,3 @@
         assert self.closing is not None
         may_try = bool(self.journal.entries) and self.loop.now <= self.closing + LAST_ATTEMPT_START
         return bool(self.attempts_in_flight) or may_try or any(busy() for busy in self.busy_checks)
-
-
-__all__ = ["Answer", "Carrier", "Courier", "End", "Message", "NextHop", "Result", "SECOND", "SenderSide"]
--- a/kestrelspar/core/transport_map.py
+++ b/kestrelspar/core/transport_map.py
@@ -34,7 +34,7 @@
     def attempt(self, message: Any, hop: NextHop, deadline: int, guard: SendGuard) -> Any:
         """Make one delivery attempt; call ``guard`` right before the first byte, and send nothing if it returns false.
 
-        ``message`` is a ``courier.Message`` and the result a ``courier.Result``; that module imports this one.
+        ``message`` is a ``messages.Message`` and the result a ``messages.Result``.
         ``deadline``: end of the attempt, in microseconds of the event loop's clock.
         """
 
--- a/kestrelspar/http/nexthop.py
+++ b/kestrelspar/http/nexthop.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from kestrelspar.core.courier import NEVER_RAN, Message, NextHop, Result
+from kestrelspar.core.messages import NEVER_RAN, Message, Result
+from kestrelspar.core.transport_map import NextHop
 from kestrelspar.http import parser
 from kestrelspar.http.pool import ConnectionPool, PooledConnection
 from kestrelspar.runtime import logs
--- a/kestrelspar/http/notices.py
+++ b/kestrelspar/http/notices.py
@@ -4,7 +4,8 @@
 
 import ujson
 
-from kestrelspar.core.courier import DELIVERED, End, Message, default_report_time
+from kestrelspar.core.front_ends import default_report_time
+from kestrelspar.core.messages import DELIVERED, End, Message
 from kestrelspar.http import parser
 from kestrelspar.http.notice_queue import Batch, Notice, NoticeQueue
 from kestrelspar.http.spare_connections import SpareConnection, SpareConnections
--- a/kestrelspar/http/sender.py
+++ b/kestrelspar/http/sender.py
@@ -11,7 +11,9 @@
 
 import ujson
 
-from kestrelspar.core.courier import Answer, Courier, Message, RefusalReason, SenderSide
+from kestrelspar.core.courier import Courier
+from kestrelspar.core.front_ends import SenderSide
+from kestrelspar.core.messages import Answer, Message, RefusalReason
 from kestrelspar.http import parser
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
--- a/kestrelspar/http/watch.py
+++ b/kestrelspar/http/watch.py
@@ -8,7 +8,8 @@
 
 import ujson
 
-from kestrelspar.core.courier import Carrier, Courier, NextHop
+from kestrelspar.core.courier import Courier
+from kestrelspar.core.transport_map import Carrier, NextHop
 from kestrelspar.http import parser
 from kestrelspar.http.backoff import CONNECT_TIMEOUT, WATCH_SILENCE_TIMEOUT, DiscoveryBackoff
 from kestrelspar.journal.removal_log import RemovalLog
--- a/kestrelspar/peers/link.py
+++ b/kestrelspar/peers/link.py
@@ -9,7 +9,8 @@
 
 import xxhash
 
-from kestrelspar.core.courier import NS_PER_US, Courier, End, Message, Result
+from kestrelspar.core.courier import NS_PER_US, Courier
+from kestrelspar.core.messages import End, Message, Result
 from kestrelspar.peers import demand, state_file
 from kestrelspar.peers.event_log import ERROR_INTERVAL, EventLog
 from kestrelspar.peers.observations import CallOutcome, RouteRestriction
--- a/kestrelspar/plugins.py
+++ b/kestrelspar/plugins.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 from typing import Any
 
-from kestrelspar.core.courier import Answer, End, Message, RefusalReason
+from kestrelspar.core.messages import Answer, End, Message, RefusalReason
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.loop import MS, Loop
 from snowlock import interface as api
--- a/kestrelspar/smpp/client.py
+++ b/kestrelspar/smpp/client.py
@@ -8,8 +8,9 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any, Protocol
 
-from kestrelspar.core.courier import DELIVERED, FAILED, NEVER_RAN, RETURNED, Courier, Message, NextHop, Result
-from kestrelspar.core.transport_map import SendGuard
+from kestrelspar.core.courier import Courier
+from kestrelspar.core.messages import DELIVERED, FAILED, NEVER_RAN, RETURNED, Message, Result
+from kestrelspar.core.transport_map import NextHop, SendGuard
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, DeadlineExceededError, Stream
 from kestrelspar.runtime.loop import MS, SECOND, TIMED_OUT, Loop, Suspension
--- a/kestrelspar/smpp/inbound.py
+++ b/kestrelspar/smpp/inbound.py
@@ -6,7 +6,8 @@
 import time
 from collections.abc import Callable
 
-from kestrelspar.core.courier import DELIVERED, Answer, Courier, End, Message, RefusalReason
+from kestrelspar.core.courier import Courier
+from kestrelspar.core.messages import DELIVERED, Answer, End, Message, RefusalReason
 from kestrelspar.runtime import logs
 from kestrelspar.settings.resolve import Gateway
 from kestrelspar.smpp import pdu as p
--- a/kestrelspar/smpp/receipts.py
+++ b/kestrelspar/smpp/receipts.py
@@ -8,7 +8,7 @@
 import re
 from dataclasses import dataclass
 
-from kestrelspar.core.courier import DELIVERED, FAILED, RETURNED
+from kestrelspar.core.messages import DELIVERED, FAILED, RETURNED
 from kestrelspar.smpp import pdu as p
 from kestrelspar.smpp.pdu import Pdu, State
 
--- a/kestrelspar/smpp/receivers.py
+++ b/kestrelspar/smpp/receivers.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable
 
-from kestrelspar.core.courier import Message, NextHop, Result
-from kestrelspar.core.transport_map import SendGuard
+from kestrelspar.core.messages import Message, Result
+from kestrelspar.core.transport_map import NextHop, SendGuard
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import DeadlineExceededError
 from kestrelspar.runtime.loop import MS, Loop
--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -13,17 +13,9 @@
 
 import ujson
 
-from kestrelspar.core.courier import (
-    DELIVERED,
-    FAILED,
-    REPORT_TIME,
-    Answer,
-    Courier,
-    End,
-    Message,
-    RefusalReason,
-    default_report_time,
-)
+from kestrelspar.core.courier import Courier
+from kestrelspar.core.front_ends import REPORT_TIME, default_report_time
+from kestrelspar.core.messages import DELIVERED, FAILED, Answer, End, Message, RefusalReason
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
 from kestrelspar.runtime.loop import (
--- a/kestrelspar/smpp/status_codes.py
+++ b/kestrelspar/smpp/status_codes.py
@@ -4,7 +4,7 @@
 
 import hmac
 
-from kestrelspar.core.courier import DELIVERED, RETURNED, WITHDRAWN, Answer, End, RefusalReason, Result
+from kestrelspar.core.messages import DELIVERED, RETURNED, WITHDRAWN, Answer, End, RefusalReason, Result
 from kestrelspar.smpp.pdu import Status
 from snowlock.interface import Outcome
 
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from kestrelspar.core.courier import Courier, End, Message
+from kestrelspar.core.courier import Courier
+from kestrelspar.core.messages import End, Message
 from kestrelspar.journal import Journal
 from kestrelspar.runtime.buffers import BufferPool
 from kestrelspar.runtime.loop import SECOND, Loop, clock
--- a/tests/core/test_outstanding.py
+++ b/tests/core/test_outstanding.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from kestrelspar.core.courier import Answer, Message, NextHop, Result
+from kestrelspar.core.messages import Answer, Message, Result
+from kestrelspar.core.transport_map import NextHop
 from kestrelspar.runtime.loop import SECOND, TIMED_OUT, Suspension
 from snowlock import interface as api
 from snowlock.interface import Outcome
--- a/tests/http/test_attempts.py
+++ b/tests/http/test_attempts.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from kestrelspar.core.courier import Message
+from kestrelspar.core.messages import Message
 from kestrelspar.http.nexthop import RESPONSE_READ_TIMEOUT
 from kestrelspar.http.pool import REST
 from kestrelspar.http.sender import State
--- a/tests/http/test_endings.py
+++ b/tests/http/test_endings.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from kestrelspar.core.courier import EXIT_TIMEOUT, End, Message
+from kestrelspar.core.courier import EXIT_TIMEOUT
+from kestrelspar.core.messages import End, Message
 from kestrelspar.http import parser
 from kestrelspar.http.sender import IDLE_TIMEOUT, State
 from kestrelspar.runtime.loop import MS, SECOND
--- a/tests/http/test_pool.py
+++ b/tests/http/test_pool.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from kestrelspar.core.courier import Message, NextHop
+from kestrelspar.core.messages import Message
+from kestrelspar.core.transport_map import NextHop
 from kestrelspar.http import parser
 from kestrelspar.http.pool import DISTRUST_TIME, REST, SUSPICIOUS_REST
 from kestrelspar.runtime.loop import MS, SECOND
--- a/tests/smpp/test_failure.py
+++ b/tests/smpp/test_failure.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from kestrelspar.core.courier import Result
+from kestrelspar.core.messages import Result
 from kestrelspar.runtime.loop import MS, SECOND
 from kestrelspar.smpp import link
 from kestrelspar.smpp import pdu as p
--- a/tests/smpp/test_inbound.py
+++ b/tests/smpp/test_inbound.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from kestrelspar.core.courier import DELIVERED, FAILED
+from kestrelspar.core.messages import DELIVERED, FAILED
 from kestrelspar.journal import Journal
 from kestrelspar.runtime.buffers import Stream
 from kestrelspar.runtime.loop import SECOND, connect
--- a/tests/test_extras.py
+++ b/tests/test_extras.py
@@ -13,7 +13,7 @@
 from kestrelspar import plugins
 from kestrelspar.cli.nginx import import_ as nginx_import
 from kestrelspar.core import entries
-from kestrelspar.core.courier import DELIVERED, FAILED, End, Message
+from kestrelspar.core.messages import DELIVERED, FAILED, End, Message
 from kestrelspar.nginx import importer as nginx
 from kestrelspar.runtime.loop import MS, SECOND
 from kestrelspar.settings import platform as config
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -15,7 +15,9 @@
 from hypothesis import strategies as st
 
 from kestrelspar import serve
-from kestrelspar.core.courier import FAILED, Courier, End, Message, NextHop
+from kestrelspar.core.courier import Courier
+from kestrelspar.core.messages import FAILED, End, Message
+from kestrelspar.core.transport_map import NextHop
 from kestrelspar.http import parser
 from kestrelspar.http.nexthop import HttpCarrier, classify_response, parse_load_report, parse_retry_after
 from kestrelspar.http.notices import Notices
--- a/tests/test_smpp.py
+++ b/tests/test_smpp.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from kestrelspar.core.courier import DELIVERED, Message
+from kestrelspar.core.messages import DELIVERED, Message
 from kestrelspar.runtime.loop import MS, SECOND, connect
 from kestrelspar.settings.resolve import Gateway
 from kestrelspar.smpp import pdu as p
