SMPP: a session that does not respond holds up no receipt while the client has another

A receipt on a session that did not respond was sent on the client's other session only after the time-out of responses (10 s in the test). Fix: with another session it is waited for 200 ms; a late response to the first one still ends the repetition.

--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -49,6 +49,7 @@
 MAX_REFUSED_BINDS = 3  # refused binds and outbinds after which a connection is closed
 EXPIRED_MARGIN = REPORT_TIME + 100 * MS  # an end that is decided so long before a message's deadline counts as expired
 INITIAL_RETRY_DELAY, MAX_RETRY_DELAY = 100 * MS, 5 * SECOND  # before a receipt is sent again
+RECEIPT_OVERLAP_DELAY = 200 * MS  # from a receipt to its repetition on another session, while no response has come
 RECEIVER_STATES = (SessionState.RX, SessionState.TRX)
 MAX_SCHEDULE_DELAY = 30 * 86_400 * SECOND  # a later schedule_delivery_time is refused
 _SMPP_TIME = re.compile(r"(\d\d)(\d\d)(\d\d)(\d\d)(\d\d)(\d\d)(\d)(\d\d)([+\-R])")
@@ -788,7 +789,8 @@
     def _send_receipt(self, message: Message, end: End, expired: bool) -> None:
         """Send a receipt if one was requested.
 
-        It is repeated until the client acknowledges it with ESME_ROK, or until the ``receipt-hold`` time has passed.
+        It is repeated until the client acknowledges it with ESME_ROK, or until the ``receipt-hold`` time has passed. A
+        session that does not respond is waited for only briefly while the client has others.
         """
         # The lowest two bits: 0 requests no receipt, 2 one on failure only, 1 and the reserved 3 one for any final
         # state.
@@ -796,8 +798,14 @@
         if not requested or requested == 2 and end.state == DELIVERED:
             return
         system_id = message.extra["account"]
+        was_acknowledged_late = False
+
+        def note_late_response(response: Pdu | None) -> None:
+            nonlocal was_acknowledged_late
+            was_acknowledged_late = was_acknowledged_late or response is not None and response.status == 0
+
         hold_until, delay = self.loop.now + self.config.receipt_hold, INITIAL_RETRY_DELAY
-        while self.loop.now < hold_until:
+        while self.loop.now < hold_until and not was_acknowledged_late:
             candidates = [
                 c
                 for c in self._connections
@@ -821,7 +829,9 @@
                 continue
             try:
                 receipt = self._build_receipt(message, end, expired)
-                answer = client.session.request(receipt, self.loop.now + self.config.response_timeout)
+                timeout = RECEIPT_OVERLAP_DELAY if len(candidates) > 1 else self.config.response_timeout
+                timeout = min(timeout, self.config.response_timeout)
+                answer = client.session.request(receipt, self.loop.now + timeout, note_late_response)
                 client.unacknowledged_receipts = 0
                 if answer.status == 0:
                     return
@@ -833,7 +843,8 @@
                 logs.event("smpp-receipt-unheard", trace=message.trace, peer=client.session.name)
             self.loop.sleep(delay)
             delay = min(MAX_RETRY_DELAY, 2 * delay)
-        logs.warn("smpp-receipt-given-up", trace=message.trace, account=system_id)
+        if not was_acknowledged_late:
+            logs.warn("smpp-receipt-given-up", trace=message.trace, account=system_id)
 
     def _build_receipt(self, message: Message, end: End, expired: bool) -> Pdu:
         """The PDU that reports the final state of a message.
--- a/tests/test_smpp.py
+++ b/tests/test_smpp.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import socket
 import struct
 from datetime import UTC, datetime
@@ -259,6 +260,20 @@
     assert not testbed.journal.entries and not testbed.courier.open and not gate.submits
 
 
+def test_a_session_that_does_not_respond_holds_up_no_receipt_while_there_is_another(tmp_path: Path) -> None:
+    testbed = SmppTestbed(tmp_path)
+    gate = StandInGateway(testbed)
+    testbed.open(gateway(gate.address))
+    testbed.server.config = dataclasses.replace(testbed.server.config, response_timeout=10 * SECOND)
+    first, second = testbed.contractor(), testbed.contractor()
+    first.response_status = second.response_status = None  # whichever gets it first does not respond
+    submit_one(testbed, first, b"a", "RD")
+    testbed.run_until(lambda: first.receipts or second.receipts)
+    sent_at = testbed.loop.now
+    testbed.run_until(lambda: first.receipts and second.receipts)
+    assert testbed.loop.now - sent_at < 500 * MS
+
+
 def test_an_unacknowledged_receipt_is_sent_again_with_the_same_state(tmp_path: Path) -> None:
     testbed = SmppTestbed(tmp_path)
     gate = StandInGateway(testbed)
