--- a/kestrelspar/journal/store.py
+++ b/kestrelspar/journal/store.py
@@ -11,6 +11,7 @@
 import errno
 import os
 import struct
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 
@@ -98,8 +99,12 @@
         data = self._path.read_bytes() if self._path.exists() else b""
         at = bad = 0
         self._conversion, self._recorded_boot = Conversion(), (b"", 0)
+        newer: Counter[int] = Counter()  # records of kinds that only newer versions write, by kind
         for scanned in records.scan(data):
             at = scanned.end
+            if scanned.kind > records.KNOWN_KINDS[-1]:
+                newer[scanned.kind] += 1
+                continue
             try:
                 if scanned.fault:
                     raise ValueError(scanned.fault)
@@ -112,6 +117,9 @@
             logs.warn("journal-torn", bytes=len(data) - at)
         if bad:
             logs.error("journal-bad-records", records=bad)
+        if newer:
+            kinds = " ".join(map(str, sorted(newer)))
+            logs.warn("journal-newer-records", records=newer.total(), kinds=kinds)
         self._size = at
 
     def _replay(self, kind: int, number: int, payload: bytes) -> None:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -85,6 +85,19 @@
     assert "event=journal-bad-records records=1" in capfd.readouterr().out
 
 
+def test_records_of_a_newer_version_are_skipped_and_are_no_damage(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    journal = open_journal(tmp_path)
+    assert journal.record_accepted(1, 9_000_000, "{}", b"body")
+    newer = records.KNOWN_KINDS[-1] + 1
+    with (tmp_path / "journal").open("ab") as file:
+        file.write(records.record(newer, 0, b"of no message") + records.record(newer, 1, b"of one"))
+    assert set(open_journal(tmp_path).entries) == {1}
+    log = capfd.readouterr().out
+    assert f"event=journal-newer-records records=2 kinds={newer}" in log and "journal-bad-record" not in log
+
+
 def test_the_directory_stays_within_its_limit_and_a_full_journal_refuses_messages(tmp_path: Path) -> None:
     limit = 200_000
     journal, accepted = open_journal(tmp_path, limit), []
