Notices: a half of a rejected batch that is settled meanwhile is sent as no empty request

Seen by reading: where an overlapping request had acknowledged all notices of a half, an empty batch went out; a platform that answers it with 400 would have ended that task with an IndexError. Settled notices now leave the halves at once; the new test of the queue fails before. The two intervals between requests were one in effect, 75 ms, as a batch that has just been sent counts as unanswered: one constant says so.

--- a/kestrelspar/http/notice_queue.py
+++ b/kestrelspar/http/notice_queue.py
@@ -57,11 +57,10 @@
         return 0 if self._halves else min(notice.due_at for notice in self._notices)
 
     def take_batch(self, now: int) -> Batch:
-        """The notices that are to be sent now in one request; empty if none is due."""
-        batch: Batch = []
-        while self._halves and not batch:
-            batch = self._still_queued(self._halves.popleft())
-        if not batch:
+        """The notices that are to be sent now in one request; empty if ``next_due_at`` is later."""
+        if self._halves:
+            batch = self._halves.popleft()
+        else:
             batch = [notice for notice in self._notices if notice.due_at <= now][:MAX_BATCH_SIZE]
         for notice in batch:
             notice.due_at = now + min(MAX_RESEND_INTERVAL, INITIAL_RESEND_INTERVAL << min(notice.requests, 10))
@@ -77,12 +76,15 @@
         settled = self._still_queued(batch)
         for notice in settled:
             del self._notices[notice]
+        remaining = map(self._still_queued, self._halves)
+        self._halves = deque(half for half in remaining if half)
         return settled
 
     def split(self, batch: Batch) -> None:
         """Send the halves of a rejected batch of several notices, each in a request of its own."""
-        middle = len(batch) // 2
-        self._halves += [batch[:middle], batch[middle:]]
+        queued = self._still_queued(batch)
+        middle = len(queued) // 2
+        self._halves += [half for half in (queued[:middle], queued[middle:]) if half]
 
     def retry(self, batch: Batch, now: int) -> int:
         """Send the notices of a failed request again after a delay, or earlier if they are due earlier.
--- a/kestrelspar/http/notices.py
+++ b/kestrelspar/http/notices.py
@@ -15,9 +15,7 @@
 
 RESPONSE_TIMEOUT = 2 * SECOND  # for writing a request and reading its response
 SPARE_WAIT = 250 * MS  # for a connection to come up, before one more is opened
-# Between requests while not all spare connections are ready, so that notices share one.
-SCARCE_INTERVAL = 150 * MS
-REPEAT_INTERVAL = 75 * MS  # the same while a request is unanswered
+REQUEST_INTERVAL = 75 * MS  # between requests while not all spare connections are ready, so that notices share one
 MIN_CONNECTIONS, MAX_CONNECTIONS = 8, 32  # to the platform
 DESCRIPTORS_PER_CONNECTION = 16  # of the courier's limit
 
@@ -107,7 +105,7 @@
                 batch = self._queue.take_batch(self.loop.now)
                 self.loop.spawn(self._send, connection, batch)
                 if self._spares.scarce and not self._queue.has_halves:
-                    self.loop.sleep(REPEAT_INTERVAL if self._queue.has_unanswered() else SCARCE_INTERVAL)
+                    self.loop.sleep(REQUEST_INTERVAL)
         finally:
             self._sending = False
 
--- a/tests/http/test_notice_queue.py
+++ b/tests/http/test_notice_queue.py
@@ -45,8 +45,16 @@
     queue.split(queue.take_batch(0))
     assert queue.next_due_at() == 0
     assert queue.take_batch(0) == notices[:2]
-    queue.settle(notices[2:])
-    assert queue.take_batch(0) == []  # the other half has been acknowledged meanwhile
+    queue.settle(notices[2:])  # the other half has been acknowledged meanwhile
+    assert queue.next_due_at() > 0 and queue.take_batch(0) == []
+
+
+def test_a_rejected_batch_whose_notices_are_settled_leaves_no_empty_half() -> None:
+    queue, notices = queue_of(3)
+    batch = queue.take_batch(0)
+    queue.settle(notices[:2])
+    queue.split(batch)
+    assert queue.take_batch(0) == notices[2:] and not queue.has_halves
 
 
 def test_after_a_move_all_notices_are_due_at_once() -> None:
