Notices: a platform that refuses connections is tried seldom while no notice is owed

Seen by reading the diff: since an idle courier whose platform was down opened up to 16 connections every 250 ms, or every 25 ms where they were accepted and closed, for nothing. Now one every 2 s while none is needed; the first that comes up, or the first notice, brings the others at once.

--- a/kestrelspar/http/spare_connections.py
+++ b/kestrelspar/http/spare_connections.py
@@ -23,6 +23,8 @@
 CONNECT_TIMEOUT = 2 * SECOND  # connections may come up 1.5 s late
 MAX_SPARE_AGE = 30 * SECOND  # an older one may have been forgotten by a device on the way
 INITIAL_OPEN_DELAY, MAX_OPEN_DELAY = 25 * MS, 250 * MS  # after a connection that failed; doubles
+IDLE_OPEN_DELAY = 2 * SECOND  # the same while no connection is needed
+DEMAND_TIME = 5 * SECOND  # from the last request for a connection on, none is needed
 
 
 @dataclass(eq=False, frozen=True, slots=True)
@@ -45,6 +47,7 @@
         self._in_use: set[SpareConnection] = set()
         self._failures = 0  # in a row
         self._may_open_at = 0  # after failures
+        self._needed_until = 0
         self._waiting: Suspension | None = None  # the task in ``wait``
 
     @property
@@ -64,12 +67,20 @@
         return f"{len(self._current())}+{len(self._previous())}+{opening}+{len(self._in_use)}"
 
     def refill(self) -> None:
-        """Open as many connections to the current address as are missing."""
-        while (
-            len(self._current()) + self._opening.get(self.address, 0) < self._max_connections // 2 and self._may_open()
-        ):
+        """Open the connections to the current address that are missing; one while they fail and none is needed."""
+        wanted = self._max_connections // 2 if self._is_needed() or not self._failures else 1
+        while len(self._current()) + self._opening.get(self.address, 0) < wanted and self._may_open():
             self._open()
 
+    def _is_needed(self) -> bool:
+        return self.loop.now < self._needed_until
+
+    def _note_need(self) -> None:
+        """End the longer delay of a time in which no connection was needed."""
+        if not self._is_needed():
+            self._may_open_at = min(self._may_open_at, self.loop.now)
+        self._needed_until = self.loop.now + DEMAND_TIME
+
     def _may_open(self) -> bool:
         in_all = len(self._ready) + sum(self._opening.values()) + len(self._in_use)
         previous = self._previous()
@@ -80,6 +91,7 @@
 
     def take(self, youngest: bool = False) -> SpareConnection | None:
         """The oldest or the youngest connection, for one request; None if none is ready. ``release`` closes it."""
+        self._note_need()
         candidates = self._current()
         taken = None
         for spare in reversed(candidates) if youngest else candidates:
@@ -132,16 +144,18 @@
             return
         self._opening[address] -= 1
         spare = SpareConnection(Stream(self.loop, sock, self.buffers), address, self.loop.now)
-        if address == self.address:
-            self._failures = 0
         self._ready.append(spare)
+        if address == self.address and self._failures:
+            self._failures = self._may_open_at = 0
+            self.refill()
         if self._waiting is not None:
             self._waiting.resume()
         self._watch(spare)
 
     def _note_failure(self, error: ConnectError) -> None:
         """Open the next connection after a delay."""
-        delay = min(MAX_OPEN_DELAY, INITIAL_OPEN_DELAY << min(self._failures, 10))
+        needed_delay = min(MAX_OPEN_DELAY, INITIAL_OPEN_DELAY << min(self._failures, 10))
+        delay = needed_delay if self._is_needed() else IDLE_OPEN_DELAY
         if not self._failures:
             logs.warn("notices-not-connected", why=str(error), again_ms=delay // MS)
         self._failures += 1
@@ -162,7 +176,7 @@
         if (
             self.loop.now < spare.came_up_at + SECOND
         ):  # a peer that closes new connections at once is not asked in a loop
-            self._refill_after(INITIAL_OPEN_DELAY)
+            self._refill_after(INITIAL_OPEN_DELAY if self._is_needed() else IDLE_OPEN_DELAY)
         else:
             self.refill()
 
--- /dev/null
+++ b/tests/http/test_spare_connections.py
@@ -0,0 +1,64 @@
+"""How many connections are opened beforehand, and how often a platform that refuses them is tried."""
+
+from __future__ import annotations
+
+import socket
+
+from kestrelspar.http.spare_connections import SpareConnections
+from kestrelspar.runtime.buffers import BufferPool
+from kestrelspar.runtime.loop import MS, SECOND, bind
+from tests.bench import CLOCK, SkippingLoop, listener
+
+
+def run_for(loop: SkippingLoop, span: int) -> None:
+    fired: list[int] = []
+    loop.call_at(loop.now + span, lambda: fired.append(1))
+    while not fired:
+        loop.turn()
+
+
+def test_a_platform_that_refuses_connections_is_tried_seldom_while_none_is_needed() -> None:
+    loop = SkippingLoop(CLOCK)
+    closed = bind(("127.0.0.1", 0))  # bound, and not listening: connections are refused
+    spares = SpareConnections(loop, BufferPool(), closed.getsockname(), 8)
+    opened: list[int] = []
+    open_one = spares._open
+    spares._open = lambda: (opened.append(loop.now), open_one())[1]  # type: ignore[method-assign]
+    spares.refill()
+    run_for(loop, 20 * SECOND)
+    assert 5 < len(opened) < 20
+    opened.clear()
+    assert spares.take() is None
+    run_for(loop, SECOND)
+    assert len(opened) > 10
+    closed.listen()
+    run_for(loop, SECOND)
+    assert len(spares._ready) == 4
+    closed.close()
+
+
+def test_after_an_outage_without_need_all_connections_are_ready_again() -> None:
+    loop = SkippingLoop(CLOCK)
+    closed = bind(("127.0.0.1", 0))
+    spares = SpareConnections(loop, BufferPool(), closed.getsockname(), 8)
+    spares.refill()
+    run_for(loop, 10 * SECOND)
+    closed.listen()
+    run_for(loop, 3 * SECOND)
+    assert len(spares._ready) == 4 and not spares.scarce
+    closed.close()
+
+
+def test_a_connection_that_its_peer_closes_is_replaced() -> None:
+    loop = SkippingLoop(CLOCK)
+    server, address = listener()
+    spares = SpareConnections(loop, BufferPool(), address, 8)
+    spares.refill()
+    run_for(loop, 2 * SECOND)
+    accepted: list[socket.socket] = [server.accept()[0] for _ in range(4)]
+    accepted[0].close()
+    run_for(loop, 3 * SECOND)
+    assert len(spares._ready) == 4 and not any(spare.stream.peer_closed() for spare in spares._ready)
+    run_for(loop, 10 * MS)
+    for sock in [*accepted, server]:
+        sock.close()
