--- a/kestrelspar/lab/clients.py
+++ b/kestrelspar/lab/clients.py
@@ -21,6 +21,18 @@
 CONNECT_TIMEOUT = 400 * MS
 
 
+def submission(trace: str, message_class: str, lifetime_ms: int, destination: int) -> bytes:
+    """The request by which a client submits a message."""
+    headers = {
+        "X-Trace-Id": trace,
+        "X-Qos": message_class,
+        "X-Expires-In": f"{lifetime_ms}m",
+        "X-Route-To": f"dest={destination}",
+        "Idempotency-Key": trace,
+    }
+    return parser.request("POST", f"/{message_class}", "rig", headers, b"{}")
+
+
 class Ending(Enum):
     """How a request ended for its client."""
 
--- a/kestrelspar/lab/rig.py
+++ b/kestrelspar/lab/rig.py
@@ -28,6 +28,7 @@
 import ujson
 
 from kestrelspar.http import parser
+from kestrelspar.lab.clients import submission
 from kestrelspar.lab.response_relay import ConnectionFaults, CopyFaults, ResponseRelay
 from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
 from kestrelspar.runtime.loop import MS, SECOND, Loop, connect
@@ -693,14 +694,7 @@
         lifetime_ms = LIFETIMES_MS[message_class]
         sent = Submission(message_class, name, self.loop.now, lifetime=lifetime_ms * MS)
         self.submissions[trace] = sent
-        headers = {
-            "X-Trace-Id": trace,
-            "X-Qos": message_class,
-            "X-Expires-In": f"{lifetime_ms}m",
-            "X-Route-To": f"dest={group}",
-            "Idempotency-Key": trace,
-        }
-        sent.status = self.send_request(name, parser.request("POST", f"/{message_class}", "rig", headers, b"{}"))
+        sent.status = self.send_request(name, submission(trace, message_class, lifetime_ms, group))
 
     def _receive_notice(self, notice: dict[str, Any]) -> None:
         sent = self.submissions.get(str(notice.get("id")))
--- a/kestrelspar/lab/soak.py
+++ b/kestrelspar/lab/soak.py
@@ -14,7 +14,7 @@
 
 from kestrelspar.http import parser
 from kestrelspar.lab import checkers, soak_judge
-from kestrelspar.lab.clients import Ending, KeepAliveClients
+from kestrelspar.lab.clients import Ending, KeepAliveClients, submission
 from kestrelspar.lab.response_relay import ConnectionFaults, CopyFaults, ResponseRelay
 from kestrelspar.lab.rig import LIFETIMES_MS, Rig, Submission
 from kestrelspar.lab.soak_judge import Leaving, Record, Recovery, Restart, SlowStartRules, ToldWait, Violation
@@ -150,7 +150,7 @@
         sent = Submission(message_class, name, self.loop.now, lifetime=lifetime_ms * MS)
         self.rig.submissions[trace] = sent
         process = self.rig.nodes[name].process
-        reply = self.clients[name].send(self._request(trace, message_class, lifetime_ms, group))
+        reply = self.clients[name].send(submission(trace, message_class, lifetime_ms, group))
         sent.status = reply.status
         if reply.ending is Ending.CLOSED and reply.on_new_connection:
             self.loop.sleep(100 * MS)  # a killed process is noticed by then
@@ -158,17 +158,6 @@
             if not was_killed and self.loop.now > self._crowded.get(name, 0):
                 self.record.unanswered.append(trace)
 
-    @staticmethod
-    def _request(trace: str, message_class: str, lifetime_ms: int, group: int) -> bytes:
-        headers = {
-            "X-Trace-Id": trace,
-            "X-Qos": message_class,
-            "X-Expires-In": f"{lifetime_ms}m",
-            "X-Route-To": f"dest={group}",
-            "Idempotency-Key": trace,
-        }
-        return parser.request("POST", f"/{message_class}", "soak", headers, b"{}")
-
     # Processes
 
     def _watch_process(self, name: str) -> None:
@@ -321,7 +310,7 @@
     def _bad_clients(self, fault: Fault) -> None:
         name, until = fault.targets[0], self.loop.now + fault.duration
         while self.loop.now < until:
-            request = self._request("bad-client", "reading", SHORT_LIFETIME_MS, 1)
+            request = submission("bad-client", "reading", SHORT_LIFETIME_MS, 1)
             self.loop.spawn(self.clients[name].send_part, request)
             self.loop.sleep(BAD_CLIENT_INTERVAL)
 
