--- a/review/rig2.py
+++ b/review/rig2.py
@@ -142,6 +142,7 @@
         self.record, self.name, self.address = record, name, free_address()
         self.calls: list[tuple[float, str]] = []
         self.runs: dict[str, int] = {}
+        self.bodies: list[bytes] = []
         self.answer: Callable[[str, asyncio.StreamWriter], Awaitable[None]] = self.run
 
     async def start(self) -> None:
@@ -158,8 +159,9 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while True:
-                _, headers, _ = await read_message(reader)
+                _, headers, body = await read_message(reader)
                 trace = headers["x-trace-id"]
+                self.bodies.append(body)
                 self.calls.append((time.monotonic(), trace))
                 self.record(f"{self.name}: call for {trace}")
                 await self.answer(trace, writer)
