--- a/review/rig2.py
+++ b/review/rig2.py
@@ -449,10 +449,14 @@
     """Play a story, which returns what broke the rule, or an empty text; returns the exit code."""
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):  # so that the courier ends with the script
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             await case.start_servers()
             broken = await asyncio.wait_for(story(case), 100)
-        except (CannotRunError, TimeoutError, OSError) as error:
+        except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
             case.record(f"could not run: {error!r}")
             print(f"could not run: {error!r}")
             return VOID
