--- a/review/rig2.py
+++ b/review/rig2.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -47,10 +48,12 @@
 
 
 def free_address() -> str:
-    """A loopback address with a port that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """A loopback address with a port that nobody listens on, below those that the system gives to connections."""
+    while True:
+        address = ("127.0.0.1", random.randrange(12_000, 32_000))
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(address)
+            return f"{address[0]}:{address[1]}"
 
 
 def split(address: str) -> tuple[str, int]:
