An exception in a carrier or in the decision module takes no final answer and no slot

Cause: Courier._deliver let any exception of Carrier.attempt end the message's task, so the decision module never heard that the attempt had ended: the message stayed out for ever and its slot stayed taken.

Now it concerns its own message or destination; what may have run is noted before anything is learnt from a report; a call is counted only when nothing can fail any more. - hooks and peers at a message's end: the report goes out all the same. - a status line with 200 delivers whatever the rest of the response does to the parser; an address that is no address (UnicodeError in connect) is a failed connection, and leaves no descriptor.

What it costs: an attempt that an exception ends counts one of the message's tries and gets the usual backoff. The simulator's host still reports an exception as fatal. Nothing that was delivered before is ended now.

--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -8,7 +8,6 @@
 
 import dataclasses
 import time
-import traceback
 from collections import deque
 from collections.abc import Callable, Iterable
 from functools import partial
@@ -18,6 +17,7 @@
 from msgspec.structs import replace
 
 from kestrelspar.core.answer_times import LATE_AFTER, AnswerSteps, AnswerTimes
+from kestrelspar.core.attempts import AttemptGuard, result_after_fault
 from kestrelspar.core.front_ends import Hook, OutcomeSource, Peers, SenderSide
 from kestrelspar.core.messages import (
     ACCEPTED,
@@ -56,22 +56,6 @@
 _WITHDRAW = object()  # resumes the parked task of a withdrawn message
 
 
-class _SendGuard:
-    """The ``transport_map.SendGuard`` of one delivery attempt."""
-
-    __slots__ = ("_may_send", "_record_attempt")
-
-    def __init__(self, may_send: Callable[[], bool], record_attempt: Callable[[], bool]) -> None:
-        self._may_send, self._record_attempt = may_send, record_attempt
-
-    def __call__(self) -> bool:
-        return self._may_send() and self._record_attempt()
-
-    def may_continue(self) -> bool:
-        """Whether the rest of the attempt may still be sent."""
-        return self._may_send()
-
-
 class Courier:
     """Owns the open messages, the transport map, the journal and the controller."""
 
@@ -239,6 +223,7 @@
                     wait_ns=result.retry_after * NS_PER_US,
                     no_slot=result.no_slot,
                     report=result.report,
+                    internal_error=result.internal_error,
                 ),
                 final=result.already_answered or result.outcome is Outcome.OK,
             )
@@ -262,12 +247,16 @@
     ) -> tuple[Result, int]:
         """Make one delivery attempt, journalled before its first byte is sent.
 
-        Returns its result, which is MOOT if the next hop has left the map, and its latency in microseconds.
-        ``outstanding``: the attempt before, if its call is still out. It is waited for, whichever next hop comes next,
-        as two attempts of a message must not run at once.
+        Returns its result, which is MOOT if the next hop has left the map, and its latency in microseconds. An
+        exception is logged, and ends the attempt alone. ``outstanding``: the attempt before, if its call is still out.
+        It is waited for, whichever next hop comes next, as two attempts of a message must not run at once.
         """
         if outstanding is not None:
-            earlier_result = self._await_outstanding(message, action, attempt_index, outstanding)
+            try:
+                earlier_result = self._await_outstanding(message, action, attempt_index, outstanding)
+            except Exception:
+                logs.fault("wait for the attempt before", trace=message.trace, n=attempt_index)
+                earlier_result = Result(Outcome.MOOT, note="internal error", outstanding=outstanding)
             if earlier_result is not None:
                 return earlier_result, 0
         hop, started = self.map.hops.get(action.endpoint), self.loop.now
@@ -277,27 +266,38 @@
         # Checked again right before the first byte: since the endpoint was chosen, it may have been drained or have
         # asked for a retry-after delay, and a connection to an endpoint that was down may come up only after the
         # window of a work-order has ended.
-        guard = _SendGuard(
+        guard = AttemptGuard(
             lambda: self._controller.may_still_send(self.loop.now * NS_PER_US, action.endpoint, message.number),
             lambda: self._spend(action.endpoint, attempt_index) and self._record_attempt(message, attempt_index),
         )
+        deadline = started + action.timeout_ns // NS_PER_US
         if self.peers is not None:
-            self.peers.wait_for_budget(
-                action.endpoint,
-                attempt_index > 0,
-                min(started + action.timeout_ns // NS_PER_US, started + BUDGET_WAIT_TIMEOUT),
-            )
+            with logs.contained("wait for the shared budget", trace=message.trace):
+                self.peers.wait_for_budget(
+                    action.endpoint, attempt_index > 0, min(deadline, started + BUDGET_WAIT_TIMEOUT)
+                )
         budget_wait_end = self.loop.now
         self.attempts_in_flight += 1
         try:
-            result = hop.carrier.attempt(message, hop, started + action.timeout_ns // NS_PER_US, guard)
+            result = hop.carrier.attempt(message, hop, deadline, guard)
+        except Exception:
+            logs.fault("attempt", trace=message.trace, n=attempt_index, hop=hop.name)
+            result = result_after_fault(guard)
         finally:
             self.attempts_in_flight -= 1
+        with logs.contained("end of an attempt", trace=message.trace, n=attempt_index):
+            self._note_result(message, hop, attempt_index, result, started, budget_wait_end)
+        return result, max(0, self.loop.now - started - result.queued)
+
+    def _note_result(
+        self, message: Message, hop: NextHop, attempt_index: int, result: Result, started: int, budget_wait_end: int
+    ) -> None:
+        """Journal and log the result of an attempt, and tell it to the peers; times as in ``_attempt``."""
         if result.outcome in NEVER_RAN:
             self.journal.record_not_run(message.number, attempt_index)
         self._save_limit(hop, result)
         if self.peers is not None:
-            self.peers.attempt_ended(action.endpoint, result, budget_wait_end)
+            self.peers.attempt_ended(hop.endpoint.id, result, budget_wait_end)
         if result.outcome is not Outcome.OK or logs.is_enabled(logs.DEBUG):
             logs.event(
                 "attempt",
@@ -312,7 +312,6 @@
                 report=",".join(f"{x:g}" for x in result.report) or None,
                 after_ms=(self.loop.now - started) // MS,
             )
-        return result, max(0, self.loop.now - started - result.queued)
 
     def _await_outstanding(
         self, message: Message, action: api.Send, attempt_index: int, outstanding: OutstandingCall
@@ -476,9 +475,11 @@
             left_ms=(message.deadline - recorded_at) // MS,
         )
         for hook in self.hooks:
-            hook.end(message, end)
+            with logs.contained("hook at a message's end", trace=message.trace):
+                hook.end(message, end)
         if self.peers is not None:
-            self.peers.message_ended(message, end)
+            with logs.contained("peers at a message's end", trace=message.trace):
+                self.peers.message_ended(message, end)
         message.sender.report_end(message, end)
         self._note_answer(message, end, AnswerSteps(decided_at, recorded_at, self.loop.now))
         self._drop(message, end.state)
@@ -719,33 +720,49 @@
         try:
             actions = self._controller.handle(self.loop.now * NS_PER_US, events)
         except Exception:
-            # An exception in the controller must not end the process; the messages of these arrivals and ended attempts
-            # fail, as they wait for a decision.
-            logs.error("fault", task="module", why=traceback.format_exc())
-            actions = [
-                api.Fail(event.message) for event in events if isinstance(event, (api.Arrival, api.AttemptEnded))
-            ]
+            # The controller contains exceptions of single events. Without a decision, the messages of these arrivals
+            # and ended attempts would wait for ever, so they fail.
+            logs.fault("module")
+            numbers = [event.message for event in events if isinstance(event, (api.Arrival, api.AttemptEnded))]
+            self._events += map(api.Withdrawn, numbers)
+            actions = [*self._controller.actions, *map(api.Fail, numbers)]
         for endpoint in {event.endpoint for event in events if isinstance(event, api.AttemptEnded)}:
-            for endpoint_id, outage in self._controller.outages(endpoint).items():
-                self.journal.record_outage(
-                    endpoint_id,
-                    None
-                    if outage is None
-                    else (outage[0] // NS_PER_US, None if outage[1] is None else outage[1] // NS_PER_US),
-                )
+            try:
+                self._save_outages(endpoint)
+            except Exception:
+                logs.fault("journal of outages")
         for action in actions:
-            if isinstance(action, (api.Send, api.Refuse, api.Fail)):
-                suspension = self._parked.pop(action.message, None)
-                if suspension is not None:
-                    suspension.resume(action)
-            elif isinstance(action, api.SetTimer):
-                self.loop.call_at(-(-action.at_ns // NS_PER_US), partial(self._timer, action.token))
-            elif isinstance(action, api.CloseIdle):
-                hop = self.map.hops.get(action.endpoint)
-                if hop is not None:
-                    hop.carrier.close_idle(hop)
-            elif isinstance(action, api.Log):
-                logs.event("decision", text=action.text)
+            try:
+                self._carry_out(action)
+            except Exception:  # each of the other actions may be what a message waits for
+                logs.fault(f"action {type(action).__name__}")
+
+    def _save_outages(self, endpoint: api.EndpointId) -> None:
+        """Journal the outages of all routes of an endpoint's destination."""
+        for endpoint_id, outage in self._controller.outages(endpoint).items():
+            self.journal.record_outage(
+                endpoint_id,
+                None
+                if outage is None
+                else (outage[0] // NS_PER_US, None if outage[1] is None else outage[1] // NS_PER_US),
+            )
+
+    def _carry_out(self, action: api.Action) -> None:
+        """Carry out one action of the controller."""
+        if isinstance(action, (api.Send, api.Refuse, api.Fail)):
+            suspension = self._parked.pop(action.message, None)
+            if suspension is not None:
+                suspension.resume(action)
+        elif isinstance(action, api.SetTimer):
+            self.loop.call_at(-(-action.at_ns // NS_PER_US), partial(self._timer, action.token))
+        elif isinstance(action, api.CloseIdle):
+            hop = self.map.hops.get(action.endpoint)
+            if hop is not None:
+                hop.carrier.close_idle(hop)
+        elif isinstance(action, api.Log):
+            logs.event("decision", text=action.text)
+        elif isinstance(action, api.Fault):
+            logs.error("fault", task="module", why=action.text)
 
     def _timer(self, token: int) -> None:
         self._events.append(api.TimerFired(token))
--- a/kestrelspar/core/messages.py
+++ b/kestrelspar/core/messages.py
@@ -110,6 +110,7 @@
     already_answered: bool = False  # the message has its final answer: no further attempt, and no report of its end
     report: tuple[float, ...] = ()  # load report of the endpoint, in the order of ``Settings.columns``; empty: none
     note: str = ""
+    internal_error: bool = False  # this courier's own fault: the outcome says nothing about the next hop
     queued: int = 0  # microseconds in a queue before the first byte, excluded from the latency of the call
     outstanding: OutstandingCall | None = None  # the call, if it is still out after its time-out
     # Microseconds for which the connection had rested since its last call; None: this was its first call.
--- a/kestrelspar/http/nexthop.py
+++ b/kestrelspar/http/nexthop.py
@@ -113,11 +113,15 @@
                 return Result(Outcome.CONNECT_FAILED, note=str(error))
             # Says nothing about the next hop, so it must not count against it.
             return Result(Outcome.MOOT, note=f"no connection from here: {error}")
-        if not guard():
-            self._connections.release_unused(hop, connection)
-            return Result(Outcome.MOOT, note="barred meanwhile")
-        rested = self.loop.now - connection.since if connection.has_carried_call else None
-        result = self._send(message, hop, connection, deadline)
+        try:
+            if not guard():
+                self._connections.release_unused(hop, connection)
+                return Result(Outcome.MOOT, note="barred meanwhile")
+            rested = self.loop.now - connection.since if connection.has_carried_call else None
+            result = self._send(message, hop, connection, deadline)
+        except Exception:  # a call must not stay out on a connection that nobody reads
+            connection.stream.close()
+            raise
         if rested is not None and self._connections.is_distrusted(hop):
             result = _without_proof(result)
         is_logged = result.outcome is not Outcome.OK or logs.is_enabled(logs.DEBUG)
@@ -238,11 +242,18 @@
         Keeps the connection for reuse if the whole response has arrived; otherwise a task reads the rest.
         """
         try:
-            head = parser.head(stream.unread, response=True)
-            length = parser.body_length(head) if head is not None else None
+            return self._delivered_by(hop, stream, deadline)
         except parser.MalformedMessageError:
-            stream.close()
-            return Result(Outcome.OK)
+            pass
+        except Exception:  # the message is delivered, whatever is wrong with the rest of the response
+            logs.fault("response with status 200", hop=hop.name)
+        stream.close()
+        return Result(Outcome.OK)
+
+    def _delivered_by(self, hop: NextHop, stream: Stream, deadline: int) -> Result:
+        """``_delivered`` for a valid head; raises ``MalformedMessageError`` for an invalid one."""
+        head = parser.head(stream.unread, response=True)
+        length = parser.body_length(head) if head is not None else None
         if head is None:
             self._read_rest_in_background(hop, stream, deadline)
             return Result(Outcome.OK)
@@ -270,12 +281,14 @@
         try:
             head = parser.read_head(stream, deadline, response=True)
             parser.read_body(stream, head, deadline, response=True)
+            self._finish(hop, stream, head)
         except (ConnectionClosedError, DeadlineExceededError, parser.MalformedMessageError):
             stream.close()
-            return
+        except Exception:
+            stream.close()
+            raise
         finally:
             self._draining_responses -= 1
-        self._finish(hop, stream, head)
 
     def _finish(self, hop: NextHop, stream: Stream, head: parser.Head) -> None:
         """Return the connection to the pool, or close it.
--- a/kestrelspar/http/pool.py
+++ b/kestrelspar/http/pool.py
@@ -193,7 +193,8 @@
         while True:
             self.loop.sleep(REAP_INTERVAL)
             for key in list(self._idle):
-                self._close_unusable(key)
+                with logs.contained("search for expired connections"):
+                    self._close_unusable(key)
             for key, until in list(self._distrusted_until.items()):
                 if until <= self.loop.now:
                     del self._distrusted_until[key]
--- a/kestrelspar/runtime/logs.py
+++ b/kestrelspar/runtime/logs.py
@@ -6,9 +6,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import sys
 import time
+import traceback
+from collections.abc import Iterator
 from typing import Any, TextIO
 
 import logfmter
@@ -102,4 +105,18 @@
     event(name, ERROR, **fields)
 
 
+def fault(task: str, **fields: Any) -> None:
+    """Log the exception that is being handled, which nobody foresaw; ``task`` names what it interrupted."""
+    error("fault", task=task, **fields, why=traceback.format_exc())
+
+
+@contextlib.contextmanager
+def contained(task: str, **fields: Any) -> Iterator[None]:
+    """Log an exception as a fault and go on behind the block: for a step that must not end what it is a part of."""
+    try:
+        yield
+    except Exception:
+        fault(task, **fields)
+
+
 set_up()
--- a/kestrelspar/runtime/loop.py
+++ b/kestrelspar/runtime/loop.py
@@ -13,7 +13,6 @@
 import select
 import socket
 import time
-import traceback
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -52,6 +51,11 @@
     return time.monotonic_ns() // 1000
 
 
+def _name(call: Callable[..., None]) -> str:
+    """The name of a call in the log."""
+    return str(getattr(call, "__qualname__", call))
+
+
 class Timer:
     """A scheduled call that can be cancelled."""
 
@@ -109,7 +113,7 @@
             try:
                 call(*args)
             except Exception:
-                logs.error("fault", task=str(getattr(call, "__qualname__", call)), why=traceback.format_exc())
+                logs.fault(_name(call))
 
         self.schedule(greenlet(run, self._scheduler), None)
 
@@ -235,7 +239,7 @@
         try:
             call()
         except Exception:
-            logs.error("fault", task=str(getattr(call, "__qualname__", call)), why=traceback.format_exc())
+            logs.fault(_name(call))
 
 
 def bind(address: tuple[str, int]) -> socket.socket:
@@ -279,6 +283,9 @@
     except OSError as error:
         close_socket(loop, sock)
         raise ConnectError(str(error), error.errno in LOCAL_CONNECT_ERRORS) from error
+    except Exception as error:  # an address that is none, such as a host with an empty label
+        close_socket(loop, sock)
+        raise ConnectError(f"{address[0]!r:.60}: {error}", is_local=False) from error
     return sock
 
 
--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+import traceback
 from bisect import bisect_right
 from collections import deque
 from collections.abc import Iterable
@@ -110,6 +111,7 @@
 # failure, up to ask_within_ns; the backoff is a random time between a quarter and three quarters of it.
 FIRST_RESUBSCRIBE_SHARE = 0.1
 MAX_LOG_LINES = 200  # per controller
+FAULT_RETRY_INTERVAL = 100 * MS  # from an exception in the choice for a destination to the next choice
 NO_TIMESTAMPS = list[int]()  # shared by limits without calls, to save memory; never mutated
 
 
@@ -235,35 +237,31 @@
         self.actions: list[api.Action] = []
 
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
-        """Process a batch of events in order and return the resulting actions in order."""
+        """Process a batch of events in order and return the resulting actions in order.
+
+        An exception concerns only the message or the destination that it meets: the traceback is an action
+        ``Fault``, and the other events have their effect.
+        """
         self.now, self.actions = now, []
         if self.subscribe_at <= now:
             self.subscribe_at = NEVER
             self.actions.append(api.Subscribe())
         touched: dict[int, Destination] = {}
         for event in events:
-            dest: Destination | None = None
-            if isinstance(event, api.AttemptEnded):
-                dest = self._on_attempt_ended(event)
-            elif isinstance(event, api.Arrival):
-                dest = self._on_arrival(event)
-            elif isinstance(event, api.TimerFired):
-                dest = self._on_timer(event.token)
-            elif isinstance(event, api.Parts):
-                self._on_shares(event)
-            elif isinstance(event, api.Judged):
-                self._on_judged(event)
-            elif isinstance(event, api.Withdrawn):
-                if (message := self.messages.get(event.message)) is not None and not message.done:
-                    dest = message.dest
-                    self._finish(message)
-            else:
-                self._on_endpoint_list(event)
-                touched.update(self.waiting)
+            try:
+                dest = self._on_event(event)
+            except Exception:
+                self._note_fault()
+                dest = self._recover(event)
             if dest is not None:
                 touched[dest.id] = dest
+            elif isinstance(event, api.EndpointList):
+                touched.update(self.waiting)
         if len(self.messages) > MAX_HELD_SHARE * self.settings.max_open:
-            self._shed_load()
+            try:
+                self._shed_load()
+            except Exception:
+                self._note_fault()
         touched.update((dest.id, dest) for dest in self.waiting.values() if dest.wake_at <= self.now)
         ready = []
         for dest in touched.values():
@@ -272,10 +270,82 @@
             for dest in ready:
                 self.waiting[dest.id], dest.wake_at = dest, self.now
         else:
-            for dest in sorted(ready, key=self._slot_cost) if len(ready) > 1 else ready:
-                self._dispatch(dest)  # most worth per slot time first
+            for dest in self._by_slot_cost(ready) if len(ready) > 1 else ready:
+                try:
+                    self._dispatch(dest)
+                except Exception:
+                    self._note_fault()
+                    self._postpone(dest)
         return self.actions
 
+    def _on_event(self, event: api.Event) -> Destination | None:
+        """Process one event; return the destination for which a choice may be due."""
+        if isinstance(event, api.AttemptEnded):
+            return self._on_attempt_ended(event)
+        if isinstance(event, api.Arrival):
+            return self._on_arrival(event)
+        if isinstance(event, api.TimerFired):
+            return self._on_timer(event.token)
+        if isinstance(event, api.Withdrawn):
+            message = self.messages.get(event.message)
+            if message is None or message.done:
+                return None
+            self._finish(message)
+            return message.dest
+        if isinstance(event, api.Parts):
+            self._on_shares(event)
+        elif isinstance(event, api.Judged):
+            self._on_judged(event)
+        else:
+            self._on_endpoint_list(event)
+        return None
+
+    def _note_fault(self) -> None:
+        """Report the exception that is being handled."""
+        self.actions.append(api.Fault(traceback.format_exc()))
+
+    def _recover(self, event: api.Event) -> Destination | None:
+        """Bring the message of an event that raised an exception back into order.
+
+        One whose attempt has ended is tried again as usual; any other gets its final answer.
+        """
+        if isinstance(event, api.TimerFired):
+            number = -1 if event.token & 1 else event.token >> 1
+        elif isinstance(event, (api.Arrival, api.AttemptEnded, api.Withdrawn)):
+            number = event.message
+        else:
+            return None
+        message = self.messages.get(number)
+        if message is None:
+            if isinstance(event, api.Arrival):
+                may_have_run = event.maybe_since_ns is not None
+                self.actions.append(api.Fail(number) if may_have_run else api.Refuse(number, 0))
+            return None
+        if message.done:
+            self._forget(message)
+        elif not message.in_flight:
+            self._abandon(message)
+        return message.dest
+
+    def _postpone(self, dest: Destination) -> None:
+        """Choose again for a destination whose choice raised an exception, after a pause.
+
+        Messages that it could not decide stay queued; they end at their time at the latest.
+        """
+        dest.queue = [message for message in dest.queue if not message.done and not message.in_flight]
+        self.waiting.pop(dest.id, None)
+        if dest.queue:
+            self.waiting[dest.id] = dest
+            self._wake_by(dest, self.now + FAULT_RETRY_INTERVAL)
+
+    def _by_slot_cost(self, dests: list[Destination]) -> list[Destination]:
+        """Return the destinations with the most worth per slot time first."""
+        try:
+            return sorted(dests, key=self._slot_cost)
+        except Exception:
+            self._note_fault()
+            return dests
+
     def _slot_cost(self, dest: Destination) -> float:
         """Return the time for which a call holds a slot, divided by the worth of the best queued message."""
         worth = max(0.01, max(self._worth(message, self.now) for message in dest.queue))
@@ -543,13 +613,21 @@
     def _abandon(self, message: Message) -> None:
         """Give the final answer of a message that gets no further attempt: Refuse if allowed, else Fail."""
         if self._may_refuse(message):
-            next_call_at = min((self._next_call_at(route) for route in message.dest.routes), default=NEVER)
-            retry_after = max(next_call_at - self.now, message.cls.aim_ns // 2)
-            self.actions.append(api.Refuse(message.id, min(retry_after, self.settings.max_retry_after_ns)))
+            self.actions.append(api.Refuse(message.id, self._advised_retry_after(message)))
         else:
             self.actions.append(api.Fail(message.id))
         self._finish(message)
 
+    def _advised_retry_after(self, message: Message) -> int:
+        """Return in how many ns a client may submit a refused message again."""
+        retry_after = message.cls.aim_ns // 2
+        try:
+            next_call_at = min((self._next_call_at(route) for route in message.dest.routes), default=NEVER)
+            retry_after = max(next_call_at - self.now, retry_after)
+        except Exception:  # the answer is due whether or not the time of the next call can be told
+            self._note_fault()
+        return min(retry_after, self.settings.max_retry_after_ns)
+
     def _finish(self, message: Message) -> None:
         """Mark the message as answered; its attempts may still be in flight."""
         message.done = True
@@ -846,9 +924,11 @@
 
     def _start_attempt(self, message: Message, route: Route, call: Call | None) -> Call:
         """Start an attempt: in a new call, or in a call that was started earlier in this reply."""
+        timeout = self._timeout(message, route)
         if message.route is not route:
             message.route, message.tries = route, 0
         if call is None:
+            interval = int(route.limit.interval)
             idle = self.now - route.idle_since if not route.inflight else NEVER
             risk = STALE_SHARE_UNSAFE if message.cls.safety is Safety.UNSAFE else STALE_SHARE
             if (idle <= self.settings.idle_ns or route.inflight) and self._decayed_idle_loss() > risk:
@@ -862,7 +942,7 @@
             self.inflight += 1
             route.previous_call_at, route.last_call_at = route.last_call_at, self.now
             limit = route.limit
-            limit.theoretical_arrival = max(limit.theoretical_arrival, self.now) + int(limit.interval)
+            limit.theoretical_arrival = max(limit.theoretical_arrival, self.now) + interval
             if len(limit.calls) > 1 and limit.calls[1] <= self.now - self.settings.fall_ns:
                 self._prune(limit.calls)
             limit.last_call_at = self.now
@@ -872,7 +952,7 @@
         call.size += 1
         message.in_flight[message.attempts] = call
         message.attempts += 1
-        self.actions.append(api.Send(message.id, route.id, self._timeout(message, route)))
+        self.actions.append(api.Send(message.id, route.id, timeout))
         self.unsafe_inflight += message.cls.safety is Safety.UNSAFE
         return call
 
@@ -929,29 +1009,6 @@
         if event.wait_ns:
             barred = dest if not dest.separate_limits else route
             barred.retry_after_until = max(barred.retry_after_until, self.now + event.wait_ns)
-        if outcome is Outcome.REJECTED:  # the message is at fault, not the route: it is not sent again
-            if not message.done and not event.closed:
-                self.actions.append(api.Fail(message.id))
-                self._finish(message)
-        elif outcome is not Outcome.MOOT and outcome is not call.counted_outcome:  # counted once per call
-            call.counted_outcome = outcome
-            capped = outcome is Outcome.CONNECT_FAILED and not route.down
-            stale = (
-                call.idle < NEVER
-                and self.idle_loss > STALE_SHARE
-                and outcome in (Outcome.TIMEOUT, Outcome.RESET)
-            )
-            self._learn_idle_loss(call, outcome)
-            if not stale:  # a loss on a stale connection says nothing about the route's health
-                self._learn_outcome(route, event, sent, message.class_index)
-            # Where an endpoint caps its connections, an idle one can keep another forwarder from connecting.
-            share = self.connect_failure_shares.get(dest.kind, 0.0)
-            share += FAILURE_GAIN * (capped - share)
-            self.connect_failure_shares[dest.kind] = share
-            max_idle = self.settings.idle_ns * max(0.0, 0.5 - 4 * share)  # shorter, the more connects fail
-            seldom_called = route.last_call_at - route.previous_call_at > max_idle
-            if seldom_called and share > CAPPED_CONNECT_SHARE and not route.inflight and not dest.queue:
-                self.actions.append(api.CloseIdle(route.id))
         if outcome in (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
             if not message.may_have_run:
                 message.may_have_run, message.zone = True, route.zone
@@ -965,6 +1022,20 @@
                 self.key_available_at[message.key] = (
                     self.now + self.settings.settle_ns + self.settings.tick_ns
                 )
+        if outcome is Outcome.REJECTED:  # the message is at fault, not the route: it is not sent again
+            if not message.done and not event.closed:
+                self.actions.append(api.Fail(message.id))
+                self._finish(message)
+        elif (
+            outcome is not Outcome.MOOT
+            and outcome is not call.counted_outcome  # counted once per call
+            and not event.internal_error
+        ):
+            call.counted_outcome = outcome
+            try:
+                self._learn(call, event, message.class_index)
+            except Exception:  # whatever the report of an endpoint says, its message goes on
+                self._note_fault()
         if message.done:
             self._forget(message)
         elif event.closed:
@@ -973,6 +1044,25 @@
             self._retry_or_abandon(message, route, outcome)
         return dest
 
+    def _learn(self, call: Call, event: api.AttemptEnded, class_index: int) -> None:
+        """Update all estimates from the outcome of a call."""
+        route, dest, outcome = call.route, call.route.dest, event.outcome
+        capped = outcome is Outcome.CONNECT_FAILED and not route.down
+        stale = (
+            call.idle < NEVER and self.idle_loss > STALE_SHARE and outcome in (Outcome.TIMEOUT, Outcome.RESET)
+        )
+        self._learn_idle_loss(call, outcome)
+        if not stale:  # a loss on a stale connection says nothing about the route's health
+            self._learn_outcome(route, event, call.sent, class_index)
+        # Where an endpoint caps its connections, an idle one can keep another forwarder from connecting.
+        share = self.connect_failure_shares.get(dest.kind, 0.0)
+        share += FAILURE_GAIN * (capped - share)
+        self.connect_failure_shares[dest.kind] = share
+        max_idle = self.settings.idle_ns * max(0.0, 0.5 - 4 * share)  # shorter, the more connects fail
+        seldom_called = route.last_call_at - route.previous_call_at > max_idle
+        if seldom_called and share > CAPPED_CONNECT_SHARE and not route.inflight and not dest.queue:
+            self.actions.append(api.CloseIdle(route.id))
+
     def _retry_or_abandon(self, message: Message, route: Route, outcome: Outcome) -> None:
         """Queue an undelivered message for its next attempt, on this route or the next, or abandon it."""
         cls = message.cls
--- a/snowlock/interface.py
+++ b/snowlock/interface.py
@@ -221,6 +221,7 @@
     wait_ns: int = 0  # retry-after, mostly with FULL; 0: none
     no_slot: bool = False  # with MOOT: the call was not forwarded, as no slot was free
     report: tuple[float, ...] = ()  # load report: values in the order of Settings.columns
+    internal_error: bool = False  # the forwarder's own fault: the outcome says nothing about the endpoint
 
 
 class Withdrawn(Struct, frozen=True):
@@ -303,4 +304,13 @@
     text: str
 
 
-Action = Union[Send, Refuse, Fail, CloseIdle, SetTimer, Subscribe, Log]
+class Fault(Struct, frozen=True):
+    """An exception in the controller, as its traceback.
+
+    The messages that it met go on, or get their final answer by another action.
+    """
+
+    text: str
+
+
+Action = Union[Send, Refuse, Fail, CloseIdle, SetTimer, Subscribe, Log, Fault]
--- a/snowlock/wirehost.py
+++ b/snowlock/wirehost.py
@@ -7,7 +7,7 @@
 
 from snowlock import wire
 from snowlock.control import Controller
-from snowlock.interface import Event
+from snowlock.interface import Event, Fault
 
 
 def _read(stream: BinaryIO, size: int) -> bytes:
@@ -49,6 +49,10 @@
         for instance, events in pending.items():
             try:
                 actions = self._controllers[instance].handle(now, events)
+                fault = next((action for action in actions if isinstance(action, Fault)), None)
+                if fault is not None:  # the simulator has no use for an instance with errors
+                    records.append(wire.fatal(instance, fault.text.rstrip().rpartition("\n")[2]))
+                    continue
                 records.extend([wire.encode(instance, action) for action in actions])
             except Exception as error:
                 records.append(wire.fatal(instance, f"{type(error).__name__}: {error}"))
