Noise in a response's headers names no delay and no limit, so it stops no destination

Read, without a fault: Content-Length, chunk sizes, status lines, X-Egress-Full, X-Expires-In, X-Route-To, SMPP's congestion_state and message_state.

--- a/kestrelspar/http/nexthop.py
+++ b/kestrelspar/http/nexthop.py
@@ -20,7 +20,8 @@
 # Of conn_idle: so the courier closes a connection before the next hop does, whose idle time begins earlier, when it has
 # responded.
 IDLE_FRACTION = 0.86
-MAX_RETRY_AFTER = 3_600 * SECOND  # larger values count as this one
+MAX_RETRY_AFTER = 3_600 * SECOND  # longer delays count as this one
+MAX_CREDIBLE_RETRY_AFTER_S = 86_400.0  # seconds; a larger value is noise and names no delay
 MAX_SINGLE_WRITE = 16 * 1024  # bytes of a request that the socket's send buffer takes at once
 LOCAL_RETRY_DELAY = 50 * MS  # after a connection that failed for a reason of this machine
 RESPONSE_READ_TIMEOUT = 1 * SECOND  # from the first byte of a response to its last
@@ -29,13 +30,16 @@
 def parse_retry_after(text: str) -> int:
     """Parses a Retry-After value in seconds into microseconds, rounded up and at most ``MAX_RETRY_AFTER``.
 
-    Returns 0 if it is missing, not positive or no number, as is an HTTP date.
+    Returns 0 if it is missing, not positive, above ``MAX_CREDIBLE_RETRY_AFTER_S`` or no number, as is an HTTP date: one
+    response with noise must not stop a destination.
     """
     try:
         value = float(text)
     except ValueError:
         return 0
-    return min(MAX_RETRY_AFTER, math.ceil(value * SECOND)) if math.isfinite(value) and value > 0 else 0
+    if not 0 < value <= MAX_CREDIBLE_RETRY_AFTER_S:  # false also for NaN
+        return 0
+    return min(MAX_RETRY_AFTER, math.ceil(value * SECOND))
 
 
 def parse_load_report(text: str, columns: tuple[str, ...]) -> tuple[float, ...]:
--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -88,6 +88,13 @@
 # A reported rate that differs from the known one by less than this share is noise, and enters an average with
 # weight RATE_GAIN.
 RATE_NOISE_BAND, RATE_GAIN = 0.3, 0.3
+MIN_RATE, MAX_RATE = (
+    0.01,
+    1e6,
+)  # calls a second: a reported rate outside of this range is noise; 0 means no limit
+# A reported rate below this share of the known one may be noise, and counts once the next report confirms it
+# up to the factor.
+DOUBTFUL_RATE_SHARE, CONFIRMING_FACTOR = 0.1, 2.0
 # Without outcomes, the call interval halves in this time, or in twice the interval if that is longer.
 INTERVAL_HALF_LIFE = 10 * SECOND
 TENANT_BURST = 2 * SECOND  # a tenant may be ahead of its rate by the messages of this time
@@ -124,6 +131,7 @@
 
     __slots__ = (
         "rate",
+        "doubtful_rate",
         "interval",
         "jitter",
         "theoretical_arrival",
@@ -138,6 +146,7 @@
 
     def __init__(self) -> None:
         self.rate = 0.0  # reported limit in calls a second over all forwarders; 0: unknown
+        self.doubtful_rate = 0.0  # the last reported limit if it is not believed yet, else 0
         # This forwarder's agreed share of the limit in calls a second; 0: no share was agreed.
         self.share = 0.0
         # ns between calls; estimated from refusals and answers, as other forwarders' calls are not seen.
@@ -148,6 +157,22 @@
         self.refusals = self.refused_since = 0  # refusals since the last answer, and the time of the first
         self.calls = self.answers = NO_TIMESTAMPS  # times of calls and of answers within the last fall_ns
 
+    def credible_rate(self, reported: float) -> float:
+        """Return the limit to count with after a report: the known one while the reported one is doubtful.
+
+        Noise in one response could otherwise stop the calls for hours, as the call interval follows from the
+        limit and is corrected by the next answer only.
+        """
+        doubtful, self.doubtful_rate = self.doubtful_rate, 0.0
+        if reported and not MIN_RATE < reported < MAX_RATE:
+            return self.rate
+        if not reported or reported >= DOUBTFUL_RATE_SHARE * (self.rate or DEFAULT_RATE):
+            return reported
+        if doubtful and doubtful / CONFIRMING_FACTOR <= reported <= doubtful * CONFIRMING_FACTOR:
+            return reported
+        self.doubtful_rate = reported
+        return self.rate
+
     def update(
         self,
         now: int,
@@ -1101,7 +1126,7 @@
             route.limit,
         )
         if column is not None and column < len(event.report):
-            reported = event.report[column] if 0.01 < event.report[column] < 1e6 else 0.0
+            reported = limit.credible_rate(event.report[column])
             # A small difference is noise and is averaged; a larger one is a new limit and replaces the old.
             gain = RATE_GAIN if abs(limit.rate - reported) < RATE_NOISE_BAND * reported else 1.0
             limit.rate += gain * (reported - limit.rate)
