SMPP: a part that comes by submit_multi is a message of its own, also after a restart

Fix: these parts bear no mark and keep their header or SAR parameters (which were taken off, so that no receiver could join them); recover() holds nothing that was attempted, waits for a receipt, or bears the id of a submit_multi.

Other operations, read: submit_sm and data_sm hold their parts before any attempt (test_parts); deliver_sm of gateways is passed on as it is; cancel_sm, replace_sm and query_sm go by the open message, not by the mark.

What it costs: an HTTP endpoint now gets such a part with its header. It got the bare text before; both times as two messages.

--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -487,7 +487,8 @@
     def _submit_multi(self, client: ClientConnection, account: Account, pdu: Pdu) -> None:
         """Process a submit_multi: one message for each valid destination, all under one message_id.
 
-        The single response is sent when every message has been accepted or refused.
+        A part of a long message is passed on as it is, with its header, for its receiver to reassemble. The single
+        response is sent when every message has been accepted or refused.
         """
         sender_id, unsuccessful = os.urandom(8).hex(), []
         messages: list[tuple[p.Destination, Message]] = []
@@ -508,7 +509,9 @@
             try:
                 if dest.is_list:
                     raise _SubmitRefusedError(Status.ESME_RINVDLNAME)  # distribution lists are not supported
-                messages.append((dest, self._build_message(account, single, f"{sender_id}-{index}", sender_id)))
+                messages.append(
+                    (dest, self._build_message(account, single, f"{sender_id}-{index}", sender_id, holds_parts=False))
+                )
             except _SubmitRefusedError as error:
                 unsuccessful.append(p.Unsuccess(dest.addr, dest.ton, dest.npi, error.status))
         accepted: list[tuple[Message, Suspension]] = []
@@ -565,11 +568,14 @@
             self.loop.park(all_decided)
         respond()
 
-    def _build_message(self, account: Account, pdu: Pdu, trace: str = "", sender_id: str = "") -> Message:
+    def _build_message(
+        self, account: Account, pdu: Pdu, trace: str = "", sender_id: str = "", holds_parts: bool = True
+    ) -> Message:
         """Build the message of a submit_sm or data_sm; raises ``_SubmitRefusedError``.
 
         An empty ``trace`` stands for a new random one. ``sender_id`` is the message_id that the client gets; if it is
-        empty, that is the trace.
+        empty, that is the trace. A part of a long message is marked as such, without its header, unless ``holds_parts``
+        is false: then it is a message of its own, and unchanged.
         """
         settings = self.courier.settings
         payload = pdu.tlv(p.MESSAGE_PAYLOAD)
@@ -580,9 +586,10 @@
         part = None
         if self.config.parts_timeout:
             try:
-                part, body = parts.identify_part(pdu, body)
+                part, text = parts.identify_part(pdu, body)
             except parts.InvalidPartError as error:
                 raise _SubmitRefusedError(error.status) from None
+            part, body = (part, text) if holds_parts else (None, body)
             tlvs = [(tag, value) for tag, value in tlvs if part is None or tag not in parts.SAR]
         if sum(len(value) for _, value in tlvs) > 2 * p.MAX_TLV_BYTES:  # the values are hexadecimal here
             raise _SubmitRefusedError(Status.ESME_ROPTPARNOTALLWD)
@@ -657,9 +664,15 @@
         """Register a message recovered after a restart.
 
         Returns true for a part that has no final state yet: it is held here until its message is complete or expires.
+        Earlier versions marked the parts of a submit_multi as such, and sent each by itself: what may have been
+        attempted, or bears the id of a submit_multi, is a message of its own.
         """
         self._register_open(message)
-        if "part" not in message.extra or self.courier.journal.entries[message.number].verdict:
+        entry = self.courier.journal.entries[message.number]
+        if "part" not in message.extra or entry.verdict:
+            return False
+        if entry.attempts or entry.awaits or "shown" in message.extra:
+            del message.extra["part"]
             return False
         self.loop.spawn(self._hold_part, message)
         return True
