Notices: connections that fall silent all at once make no final answer late

Reproduced with real processes (tests/lab/test_late_connections.py, silent_at_once): a relay makes all present connections to the platform silent.

Cause: the turn between the oldest and the youngest ready connection was one for all notices, so a notice could meet a silent one each time; and silent requests held their connections for 2 s, so that with 16 silent ones ready no new one could be opened. Now each notice has its own turn, first requests use the end that was answered last, and a request that is unanswered for 300 ms makes room where the number is used up. `notices-repeated` shows it next time.

What it costs: an acknowledgement that comes after 300 ms is missed where all 32 connections are in use; the notice is on its way again by then. Tests: test_notice_queue and test_spare_connections have one new case each.

--- a/kestrelspar/http/notice_queue.py
+++ b/kestrelspar/http/notice_queue.py
@@ -10,7 +10,9 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
+from itertools import islice
 
+from kestrelspar.http.spare_connections import Choice
 from kestrelspar.runtime.loop import MS, Suspension
 
 MAX_BATCH_SIZE = 200  # notices in one request
@@ -28,6 +30,8 @@
     due_at: int  # when it is to be sent next
     requests: int = 0  # that have carried it
     failures: int = 0  # of these
+    first_sent_at: int = 0  # when the first request began that carries it
+    sent_on: Choice | None = None  # the connection of the last request
 
 
 Batch = list[Notice]  # the notices of one request
@@ -57,19 +61,26 @@
         return 0 if self._halves else min(notice.due_at for notice in self._notices)
 
     def take_batch(self, now: int) -> Batch:
-        """The notices that are to be sent now in one request; empty if ``next_due_at`` is later."""
+        """The notices that are to be sent now in one request; empty if ``next_due_at`` is later.
+
+        Those whose last requests were on different connections, as ``next_sent_on`` tells, are sent in different ones.
+        """
         if self._halves:
             batch = self._halves.popleft()
         else:
-            batch = [notice for notice in self._notices if notice.due_at <= now][:MAX_BATCH_SIZE]
+            sent_on = self.next_sent_on(now)
+            due = (notice for notice in self._notices if notice.due_at <= now and notice.sent_on is sent_on)
+            batch = list(islice(due, MAX_BATCH_SIZE))
         for notice in batch:
+            notice.first_sent_at = notice.first_sent_at or now
             notice.due_at = now + min(MAX_RESEND_INTERVAL, INITIAL_RESEND_INTERVAL << min(notice.requests, 10))
             notice.requests += 1
         return batch
 
-    def has_unanswered(self) -> bool:
-        """Whether a request that carries a notice of the queue is unanswered, or has failed."""
-        return any(notice.requests for notice in self._notices)
+    def next_sent_on(self, now: int) -> Choice | None:
+        """The connection of the last request with what ``take_batch`` returns next; None if there was none."""
+        due = self._halves[0] if self._halves else (notice for notice in self._notices if notice.due_at <= now)
+        return next((notice.sent_on for notice in due), None)
 
     def settle(self, batch: Batch) -> Batch:
         """Remove acknowledged or rejected notices; returns those that were still queued."""
--- a/kestrelspar/http/notices.py
+++ b/kestrelspar/http/notices.py
@@ -8,7 +8,7 @@
 from kestrelspar.core.messages import DELIVERED, End, Message
 from kestrelspar.http import parser
 from kestrelspar.http.notice_queue import Batch, Notice, NoticeQueue
-from kestrelspar.http.spare_connections import SpareConnection, SpareConnections
+from kestrelspar.http.spare_connections import Choice, SpareConnection, SpareConnections
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, ConnectionClosedError, DeadlineExceededError, Stream
 from kestrelspar.runtime.loop import MS, SECOND, Loop, Suspension
@@ -16,6 +16,7 @@
 RESPONSE_TIMEOUT = 2 * SECOND  # for writing a request and reading its response
 SPARE_WAIT = 250 * MS  # for a connection to come up, before one more is opened
 REQUEST_INTERVAL = 75 * MS  # between requests while not all spare connections are ready, so that notices share one
+MIN_LOGGED_REQUESTS = 3  # that carried a notice before it was acknowledged
 MIN_CONNECTIONS, MAX_CONNECTIONS = 8, 32  # to the platform
 DESCRIPTORS_PER_CONNECTION = 16  # of the courier's limit
 
@@ -40,6 +41,7 @@
         self.loop = loop
         self._queue = NoticeQueue()
         self._spares = SpareConnections(loop, buffers, address, connections)
+        self._preferred = Choice.OLDEST  # for first requests: the connection that was answered last
         self._sending = False  # ``_send_pending`` runs
         self._idle: Suspension | None = None  # that task, while nothing is due
 
@@ -90,21 +92,24 @@
 
     def _send_pending(self) -> None:
         """Sends notices when they are due, until there are none."""
-        take_youngest = False
         try:
             while self._queue:
                 self._await_due()
                 if not self._queue or self._queue.next_due_at() > self.loop.now:
                     continue
-                # Alternately, as either the old or the young connections may be silent.
-                take_youngest = self._queue.has_unanswered() and not take_youngest
-                connection = self._spares.take(take_youngest)
+                # Each notice alternately, as either the old or the young connections may be silent.
+                sent_on = self._queue.next_sent_on(self.loop.now)
+                choice = self._preferred if sent_on is None else sent_on.other
+                connection = self._spares.take(choice)
                 if connection is None:
                     self._spares.wait(self.loop.now + SPARE_WAIT)
                     continue
                 batch = self._queue.take_batch(self.loop.now)
-                self.loop.spawn(self._send, connection, batch)
-                if self._spares.scarce and not self._queue.has_halves:
+                for notice in batch:
+                    notice.sent_on = choice
+                self.loop.spawn(self._send, connection, batch, choice)
+                others_are_due = bool(self._queue) and self._queue.next_due_at() <= self.loop.now
+                if self._spares.scarce and not others_are_due:
                     self.loop.sleep(REQUEST_INTERVAL)
         finally:
             self._sending = False
@@ -117,7 +122,7 @@
         self.loop.park(self._idle, due_at)
         self._idle = None
 
-    def _send(self, connection: SpareConnection, batch: Batch) -> None:
+    def _send(self, connection: SpareConnection, batch: Batch, choice: Choice) -> None:
         """Sends one request on a connection of its own, and handles its response.
 
         The response names no request: on a connection that has carried one before, a late copy of an earlier response
@@ -131,6 +136,7 @@
                 to="{}:{}".format(*connection.address),
                 notices=len(batch),
                 first=batch[0].line,
+                on=choice.value,
                 rested_ms=(started_at - connection.came_up_at) // MS,
                 connections=self._spares.counts(),
             )
@@ -139,6 +145,8 @@
         if connection.address != self._spares.address:
             return
         if status is not None and 200 <= status < 300:
+            self._preferred = choice
+            self._log_repeats(batch, choice)
             self._settle(batch)
         elif status == 400 and len(batch) > 1:
             self._queue.split(batch)
@@ -157,6 +165,19 @@
             )
         self._wake()
 
+    def _log_repeats(self, batch: Batch, choice: Choice) -> None:
+        """Log that notices took several requests, as where connections fall silent or come up late."""
+        requests = max(notice.requests for notice in batch)
+        if requests >= MIN_LOGGED_REQUESTS:
+            logs.warn(
+                "notices-repeated",
+                notices=len(batch),
+                requests=requests,
+                on=choice.value,
+                since_first_ms=(self.loop.now - min(notice.first_sent_at for notice in batch)) // MS,
+                connections=self._spares.counts(),
+            )
+
     def _settle(self, batch: Batch) -> None:
         for notice in self._queue.settle(batch):
             notice.settled.resume()
--- a/kestrelspar/http/spare_connections.py
+++ b/kestrelspar/http/spare_connections.py
@@ -5,7 +5,9 @@
 its own. Several connections are opened at the same time, and one that is late is waited for while others are opened.
 
 A proxy on the way may accept a connection long before the server has it, so of the ready connections the oldest one is
-the most certain to be up. But old connections may also fall silent all at once; then the youngest one is.
+the most certain to be up. But old connections may also fall silent all at once; then the youngest one is. Whoever takes
+one chooses between the two. Silent connections must not use up the number that may be open: where that is reached, the
+one whose request has been unanswered for longest makes room for a new one.
 
 After a change of the address, connections to earlier addresses are kept while they are young and there is room, as the
 address may be changed back.
@@ -14,6 +16,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, Stream
@@ -25,6 +28,19 @@
 INITIAL_OPEN_DELAY, MAX_OPEN_DELAY = 25 * MS, 250 * MS  # after a connection that failed; doubles
 IDLE_OPEN_DELAY = 2 * SECOND  # the same while no connection is needed
 DEMAND_TIME = 5 * SECOND  # from the last request for a connection on, none is needed
+UNANSWERED_TIME = 300 * MS  # after which a request may lose its connection to a new one
+
+
+class Choice(Enum):
+    """Which of the ready connections is taken."""
+
+    OLDEST = "oldest"
+    YOUNGEST = "youngest"
+
+    @property
+    def other(self) -> Choice:
+        """The other one."""
+        return Choice.YOUNGEST if self is Choice.OLDEST else Choice.OLDEST
 
 
 @dataclass(eq=False, frozen=True, slots=True)
@@ -44,7 +60,7 @@
         self._max_connections = max_connections
         self._ready: list[SpareConnection] = []  # oldest first
         self._opening: dict[Address, int] = {}  # by address: connections that are being opened
-        self._in_use: set[SpareConnection] = set()
+        self._in_use: dict[SpareConnection, int] = {}  # and when each was taken, the earliest first
         self._failures = 0  # in a row
         self._may_open_at = 0  # after failures
         self._needed_until = 0
@@ -87,18 +103,29 @@
         if in_all >= self._max_connections and len(previous) > self._max_connections // 4:
             self._close(previous[-1])
             in_all -= 1
+        elif in_all >= self._max_connections and self._close_unanswered():
+            in_all -= 1
         return in_all < self._max_connections and self.loop.now >= self._may_open_at
 
-    def take(self, youngest: bool = False) -> SpareConnection | None:
-        """The oldest or the youngest connection, for one request; None if none is ready. ``release`` closes it."""
+    def _close_unanswered(self) -> bool:
+        """Close the connection whose request has been unanswered for longest; false if for no long time."""
+        spare, taken_at = next(iter(self._in_use.items()), (None, 0))
+        if spare is None or taken_at > self.loop.now - UNANSWERED_TIME:
+            return False
+        del self._in_use[spare]
+        spare.stream.close()
+        return True
+
+    def take(self, choice: Choice = Choice.OLDEST) -> SpareConnection | None:
+        """A connection for one request, which ``release`` closes; None if none is ready."""
         self._note_need()
         candidates = self._current()
         taken = None
-        for spare in reversed(candidates) if youngest else candidates:
+        for spare in candidates if choice is Choice.OLDEST else reversed(candidates):
             if spare.stream.is_reusable():
                 taken = spare
                 self._ready.remove(spare)
-                self._in_use.add(spare)
+                self._in_use[spare] = self.loop.now
                 break
             self._close(spare)
         self.refill()
@@ -106,7 +133,7 @@
 
     def release(self, spare: SpareConnection) -> None:
         """Close a connection that ``take`` has returned."""
-        self._in_use.discard(spare)
+        self._in_use.pop(spare, None)
         spare.stream.close()
         self.refill()
 
--- a/kestrelspar/lab/response_relay.py
+++ b/kestrelspar/lab/response_relay.py
@@ -67,6 +67,8 @@
         self._first_bytes_at: dict[Stream, int] = {}
         self._random = random.Random(seed)
         self._silent: list[Stream] = []  # connections that never come up, kept open
+        self._up: set[Stream] = set()  # connections of clients that are up
+        self._fallen_silent: set[Stream] = set()  # those of them that carry nothing any more
         self._buffers = BufferPool(2048)
         self._listener = listener or free_listener()
         self.address = "{}:{}".format(*self._listener.getsockname())
@@ -104,9 +106,25 @@
             return False
         return True
 
+    def silence_connections(self) -> int:
+        """Make all present connections silent for good, and return how many; later ones are as usual.
+
+        What is sent on them arrives nowhere, and neither side sees them end.
+        """
+        self._fallen_silent |= self._up
+        silenced, self._up = len(self._up), set()
+        return silenced
+
     def _relay(self, client: Stream) -> None:
         if not self._comes_up(client):
             return
+        self._up.add(client)
+        try:
+            self._connect_and_forward(client)
+        finally:
+            self._up.discard(client)
+
+    def _connect_and_forward(self, client: Stream) -> None:
         sock = connect(self.loop, self.upstream, self.loop.now + CONNECT_TIMEOUT)
         if sock is None:
             client.close()
@@ -120,7 +138,9 @@
     def _forward_requests(self, client: Stream, server: Stream) -> None:
         try:
             while True:
-                server.write(self._next_bytes(client), None)
+                data = self._next_bytes(client)
+                if client not in self._fallen_silent:
+                    server.write(data, None)
         except (ConnectionClosedError, DeadlineExceededError):
             server.close()
             client.close()
@@ -129,7 +149,10 @@
         received, is_unsized = b"", False
         try:
             while True:
-                received += self._next_bytes(server)
+                data = self._next_bytes(server)
+                if client in self._fallen_silent:
+                    continue
+                received += data
                 while not is_unsized and (size := _response_size(received)) is not None:
                     response, received = received[:size], received[size:]
                     client.write(response, None)
--- a/tests/http/test_notice_queue.py
+++ b/tests/http/test_notice_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from kestrelspar.http.notice_queue import INITIAL_RESEND_INTERVAL, MAX_BATCH_SIZE, Notice, NoticeQueue
+from kestrelspar.http.spare_connections import Choice
 from kestrelspar.runtime.loop import MS, Loop, Suspension
 
 
@@ -62,3 +63,16 @@
     queue.split(queue.take_batch(0))
     queue.make_due(50 * MS)
     assert queue.take_batch(50 * MS) == notices
+
+
+def test_notices_that_were_last_sent_on_different_connections_go_in_different_requests() -> None:
+    # Guards against a notice that is sent again and again on the kind of connection that is silent, as another notice
+    # takes the other kind each time.
+    queue, notices = queue_of(3)
+    for notice, sent_on in zip(notices, (Choice.OLDEST, Choice.YOUNGEST, Choice.OLDEST), strict=True):
+        notice.sent_on = sent_on
+    assert queue.next_sent_on(0) is Choice.OLDEST
+    assert queue.take_batch(0) == [notices[0], notices[2]]
+    assert queue.next_sent_on(0) is Choice.YOUNGEST
+    assert queue.take_batch(0) == [notices[1]]
+    assert queue.next_sent_on(0) is None and queue.take_batch(0) == []
--- a/tests/http/test_spare_connections.py
+++ b/tests/http/test_spare_connections.py
@@ -4,7 +4,7 @@
 
 import socket
 
-from kestrelspar.http.spare_connections import SpareConnections
+from kestrelspar.http.spare_connections import UNANSWERED_TIME, SpareConnections
 from kestrelspar.runtime.buffers import BufferPool
 from kestrelspar.runtime.loop import MS, SECOND, bind
 from tests.bench import CLOCK, SkippingLoop, listener
@@ -62,3 +62,21 @@
     run_for(loop, 10 * MS)
     for sock in [*accepted, server]:
         sock.close()
+
+
+def test_silent_requests_do_not_use_up_the_connections() -> None:
+    # Guards against notices that wait until the first of many silent requests is given up.
+    loop = SkippingLoop(CLOCK)
+    _server, address = listener()
+    spares = SpareConnections(loop, BufferPool(), address, 8)
+    spares.refill()
+    taken = []
+    for _ in range(8):  # none of them is answered
+        run_for(loop, 10 * MS)
+        taken.append(spares.take())
+    assert None not in taken and spares.take() is None
+    run_for(loop, UNANSWERED_TIME)
+    assert spares.take() is None  # opens new ones
+    run_for(loop, 10 * MS)
+    assert spares.take() is not None
+    assert taken[0] is not None and taken[0].stream.sock.fileno() < 0, "the oldest request makes room"
--- a/tests/lab/test_late_connections.py
+++ b/tests/lab/test_late_connections.py
@@ -21,6 +21,36 @@
 }
 
 
+SILENT_INTERVALS = {"every-2s": 2 * SECOND, "every-5s": 5 * SECOND, "every-700ms": 700 * MS}
+
+
+@pytest.mark.parametrize("interval", SILENT_INTERVALS)
+def test_connections_to_the_platform_that_fall_silent_at_once_make_no_final_answer_late(
+    tmp_path: Path, interval: str
+) -> None:
+    # Guards against ends that are told one silent connection after the other: all ready ones may be silent.
+    with Rig(tmp_path, 1, 7, LIMITS, peers=False) as rig:
+        relay = rig.relay_discovery()
+        for member in rig.members.values():
+            member.refused = 1.0  # every message ends with a notice
+        rig.start("n0")
+        rig.ready()
+        rig.traffic({"n0": {"m1": 10.0, "m2": 10.0, "m3": 10.0}}, 10 * SECOND)
+        silenced = []
+        for at in range(1, 14 * SECOND // SILENT_INTERVALS[interval]):
+            rig.loop.call_at(
+                rig.loop.now + at * SILENT_INTERVALS[interval], lambda: silenced.append(relay.silence_connections())
+            )
+        rig.run(10 * SECOND)
+        rig.drain()
+        calls = [call for member in rig.members.values() for call in member.calls]
+        delays = checkers.end_delays(rig.submissions, calls)
+        print(f"{interval}: {len(delays)} ends, the latest {max(delays.values()) / SECOND:+.3f} s after its time")
+        assert len(delays) > 200 and max(silenced) > 8  # else the run shows nothing
+        assert not checkers.late_ends(rig.submissions, calls, rig.loop.longest_turn)
+        assert not checkers.delivery_violations(rig.submissions, calls)
+
+
 @pytest.mark.parametrize("faults", FAULTS)
 def test_slow_connections_to_the_platform_make_no_final_answer_late(tmp_path: Path, faults: str) -> None:
     with Rig(tmp_path, 1, 7, LIMITS, peers=False) as rig:
