An exception around a delivery, its end or its recovery takes no final answer

An exception outside of an attempt ended the message's task: it was neither delivered nor ended, and its slot stayed taken.

What it costs: a message is no longer ended at the first exception in its delivery, but tried again for 3.1 s at most; one whose answer to the client raised is returned, as it is unknown whether the client heard it. A report that raises again and again is repeated up to once a minute, and logged each time.

--- a/kestrelspar/core/attempts.py
+++ b/kestrelspar/core/attempts.py
@@ -1,11 +1,22 @@
-"""What one delivery attempt may send, and the result of an attempt that an exception has ended."""
+"""How far a delivery has come, what one attempt may send, and the result of an attempt that an exception has ended."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
-from kestrelspar.core.messages import Result
-from snowlock.interface import Outcome
+from kestrelspar.core.messages import OutstandingCall, Result
+from snowlock.interface import Outcome, Send
+
+
+@dataclass(slots=True)
+class DeliveryProgress:
+    """How far the delivery of a message has come; kept when an exception interrupts it."""
+
+    attempts: int  # made so far
+    maybe_since_ns: int | None  # when the first of them that may have run was sent; None: none can have run
+    outstanding: OutstandingCall | None = None  # the last one, if its call is still out
+    last_send: Send | None = None  # the controller's action for the last one
 
 
 class AttemptGuard:
--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -17,7 +17,7 @@
 from msgspec.structs import replace
 
 from kestrelspar.core.answer_times import LATE_AFTER, AnswerSteps, AnswerTimes
-from kestrelspar.core.attempts import AttemptGuard, result_after_fault
+from kestrelspar.core.attempts import AttemptGuard, DeliveryProgress, result_after_fault
 from kestrelspar.core.front_ends import Hook, OutcomeSource, Peers, SenderSide
 from kestrelspar.core.messages import (
     ACCEPTED,
@@ -38,7 +38,7 @@
 from kestrelspar.core.transport_map import NextHop, TransportMap
 from kestrelspar.journal import Entry, Journal
 from kestrelspar.runtime import logs
-from kestrelspar.runtime.loop import MS, Loop, Suspension
+from kestrelspar.runtime.loop import MS, SECOND, Loop, Suspension
 from snowlock import Controller
 from snowlock import interface as api
 from snowlock.control import SMALL_FLEET_SIZE
@@ -51,6 +51,11 @@
 # Time left at which a missing outcome is queried and the message ends; at most half of that at the start of the wait.
 OUTCOME_QUERY_MARGIN = 1_000 * MS
 JOURNAL_RETRY_INTERVAL = 50 * MS  # between attempts to write to a journal that has failed
+# Between tries to report an end, while that raises an exception; doubles.
+INITIAL_REPORT_RETRY_DELAY, MAX_REPORT_RETRY_DELAY = 50 * MS, 60 * SECOND
+# An exception outside of an attempt interrupts the delivery of a message. It is continued from the journal after a
+# delay that doubles, and at most so often.
+INITIAL_DELIVERY_RETRY_DELAY, MAX_DELIVERY_RETRIES = 100 * MS, 5
 BUDGET_WAIT_TIMEOUT = 500 * MS  # maximum wait of a call for room in the budget, before an endpoint is chosen anew
 
 _WITHDRAW = object()  # resumes the parked task of a withdrawn message
@@ -128,17 +133,24 @@
         message.report_time = message.sender.report_time(max(0, message.deadline - earliest))
         self._last_number += 1
         message.number = self._last_number
-        text = ujson.dumps(self._journal_fields(message))
-        if not self.journal.record_accepted(message.number, message.deadline, text, message.body):
+        if not self._record_accepted(message):
             answer(Answer(False, True, RefusalReason.DISK))
             return False
         self.open[message.number] = message
         self._known[message.trace] = message
-        if not answer(ACCEPTED):  # the client left without the answer and may submit elsewhere
+        try:
+            is_answered = answer(ACCEPTED)
+        except Exception:
+            # Whether the client has its answer is unknown: it is told that the message never ran.
+            logs.fault("answer to a submission", trace=message.trace)
+            self.loop.spawn(self._end, message, End(RETURNED))
+            return False
+        if not is_answered:  # the client left without the answer and may submit elsewhere
             self._drop(message, RETURNED)
             return False
         if self.peers is not None:
-            self.peers.message_accepted(message)
+            with logs.contained("peers at an acceptance", trace=message.trace):
+                self.peers.message_accepted(message)
         logs.event(
             "taken",
             logs.DEBUG,
@@ -150,6 +162,16 @@
         )
         return True
 
+    def _record_accepted(self, message: Message) -> bool:
+        """Journal a new message; false if that fails, by an exception too, and then the journal does not keep it."""
+        try:
+            text = ujson.dumps(self._journal_fields(message))
+            return self.journal.record_accepted(message.number, message.deadline, text, message.body)
+        except Exception:
+            logs.fault("journal of an accepted message", trace=message.trace)
+            self.journal.record_not_accepted(message.number)
+            return False
+
     def join(self, whole: Message, parts: list[Message]) -> bool:
         """Replace several accepted messages by one joined message; false if it can't be journalled now.
 
@@ -160,13 +182,12 @@
         whole.number = self._last_number
         whole.extra["joined"] = [part.number for part in parts]
         whole.report_time = min(part.report_time for part in parts)
-        if not self.journal.record_accepted(
-            whole.number, whole.deadline, ujson.dumps(self._journal_fields(whole)), whole.body
-        ):
+        if not self._record_accepted(whole):
             return False
         self.open[whole.number] = self._known[whole.trace] = whole
         for part in parts:
-            self._drop(part)
+            with logs.contained("part of a joined message", trace=part.trace):
+                self._drop(part)
         logs.event("joined", trace=whole.trace, parts=" ".join(part.trace for part in parts))
         self.loop.spawn(self._deliver, whole)
         return True
@@ -183,13 +204,47 @@
         Returns when the message has ended, when its outcome is awaited, or when a shutdown leaves it in the journal.
         ``attempts``, ``maybe_since_ns``: number of earlier attempts, and the time at which the first of them that may
         have run was sent (None: none of them can have run). ``recovered``: it was accepted before a restart.
+
+        After an exception the delivery continues from the journal, as after a restart. A message that meets one again
+        and again ends, as returned if it surely never ran.
         """
-        attempt_index, outstanding = attempts, None
+        progress = DeliveryProgress(attempts, maybe_since_ns)
+        for retry in range(MAX_DELIVERY_RETRIES + 1):
+            try:
+                end = self._run_attempts(message, progress, recovered)
+                break
+            except Exception:
+                logs.fault("delivery", trace=message.trace, n=retry)
+            entry = self.journal.entries.get(message.number)
+            if entry is None or entry.verdict or message.number in self._awaiting:
+                return  # its end has been recorded, or its outcome follows
+            self._parked.pop(message.number, None)
+            self._forget_in_controller(message, progress)
+            end = End(RETURNED if entry.may_have_run_since is None else FAILED)
+            if self.loop.now >= message.decide_by:
+                break
+            self.loop.sleep(min(INITIAL_DELIVERY_RETRY_DELAY << retry, message.decide_by - self.loop.now))
+            progress.attempts = max(progress.attempts, entry.attempts)
+            progress.maybe_since_ns = _maybe_since_ns(entry)
+        if end is not None:
+            self._end(message, end)
+
+    def _forget_in_controller(self, message: Message, progress: DeliveryProgress) -> None:
+        """End the message for the controller, and the attempt that it may count as in flight."""
+        self._events.append(api.Withdrawn(message.number))
+        if progress.last_send is not None:
+            endpoint = progress.last_send.endpoint
+            for index in (progress.attempts - 1, progress.attempts):  # whichever of them is in flight
+                self._events.append(
+                    api.AttemptEnded(message.number, index, endpoint, Outcome.MOOT, 0, closed=True, internal_error=True)
+                )
+
+    def _run_attempts(self, message: Message, progress: DeliveryProgress, recovered: bool) -> End | None:
+        """The steps of ``_deliver``; returns the final state, or None if it is not to be reported now."""
         if message.start > self.loop.now:
             suspension = self._parked[message.number] = Suspension(self.loop)
             if self.loop.park(suspension, message.start) is _WITHDRAW:
-                self._end(message, End(WITHDRAWN))
-                return
+                return End(WITHDRAWN)
             self._parked.pop(message.number, None)
         time_for_attempts = max(0, message.decide_by - self.loop.now)
         action = self._next_action(
@@ -201,21 +256,22 @@
                 time_for_attempts * NS_PER_US,
                 message.tenant,
                 0,
-                attempts,
-                maybe_since_ns,
+                progress.attempts,
+                progress.maybe_since_ns,
                 recovered,
             ),
         )
         while isinstance(action, api.Send):
             if self.closing is not None and self.loop.now - self.closing > LAST_ATTEMPT_START:
-                return  # still in the journal: the next process resumes it
-            result, latency = self._attempt(message, action, attempt_index, outstanding)
-            attempt_index, outstanding = attempt_index + 1, result.outstanding
+                return None  # still in the journal: the next process resumes it
+            progress.last_send = action
+            result, latency = self._attempt(message, action, progress.attempts, progress.outstanding)
+            progress.attempts, progress.outstanding = progress.attempts + 1, result.outstanding
             action = self._next_action(
                 message.number,
                 api.AttemptEnded(
                     message.number,
-                    attempt_index - 1,
+                    progress.attempts - 1,
                     action.endpoint,
                     result.outcome,
                     latency * NS_PER_US,
@@ -229,18 +285,16 @@
             )
             if result.outcome is Outcome.OK:
                 if result.outcome_source is None:
-                    self._end(message, End(DELIVERED))
-                else:
-                    self._await_outcome(message, *result.outcome_source)
-                return
+                    return End(DELIVERED)
+                self._await_outcome(message, *result.outcome_source)
+                return None
             if result.already_answered:
                 self._drop(message, FAILED)
-                return
+                return None
         if action is _WITHDRAW:
-            self._end(message, End(WITHDRAWN))
-            return
+            return End(WITHDRAWN)
         after_ms = -(-action.retry_after_ns // (NS_PER_US * MS)) if isinstance(action, api.Refuse) else 0
-        self._end(message, End(RETURNED if isinstance(action, api.Refuse) else FAILED, after_ms))
+        return End(RETURNED if isinstance(action, api.Refuse) else FAILED, after_ms)
 
     def _attempt(
         self, message: Message, action: api.Send, attempt_index: int, outstanding: OutstandingCall | None
@@ -256,13 +310,11 @@
                 earlier_result = self._await_outstanding(message, action, attempt_index, outstanding)
             except Exception:
                 logs.fault("wait for the attempt before", trace=message.trace, n=attempt_index)
-                earlier_result = Result(Outcome.MOOT, note="internal error", outstanding=outstanding)
+                earlier_result = Result(
+                    Outcome.MOOT, note="internal error", outstanding=outstanding, internal_error=True
+                )
             if earlier_result is not None:
                 return earlier_result, 0
-        hop, started = self.map.hops.get(action.endpoint), self.loop.now
-        if hop is None:
-            return Result(Outcome.MOOT), 0
-
         # Checked again right before the first byte: since the endpoint was chosen, it may have been drained or have
         # asked for a retry-after delay, and a connection to an endpoint that was down may come up only after the
         # window of a work-order has ended.
@@ -270,6 +322,17 @@
             lambda: self._controller.may_still_send(self.loop.now * NS_PER_US, action.endpoint, message.number),
             lambda: self._spend(action.endpoint, attempt_index) and self._record_attempt(message, attempt_index),
         )
+        try:
+            return self._call(message, action, attempt_index, guard)
+        except Exception:
+            logs.fault("attempt", trace=message.trace, n=attempt_index)
+            return result_after_fault(guard), 0
+
+    def _call(self, message: Message, action: api.Send, attempt_index: int, guard: AttemptGuard) -> tuple[Result, int]:
+        """Call the next hop; arguments and result as those of ``_attempt``."""
+        hop, started = self.map.hops.get(action.endpoint), self.loop.now
+        if hop is None:
+            return Result(Outcome.MOOT), 0
         deadline = started + action.timeout_ns // NS_PER_US
         if self.peers is not None:
             with logs.contained("wait for the shared budget", trace=message.trace):
@@ -384,18 +447,20 @@
         attempt could run at the same time. If this can't be journalled, the message counts after a restart as one that
         may have run.
         """
-        self.journal.record_awaited(message.number, ujson.dumps({"by": source, **awaits}))
+        with logs.contained("journal of an awaited outcome", trace=message.trace):
+            self.journal.record_awaited(message.number, ujson.dumps({"by": source, **awaits}))
         logs.event("accepted", logs.DEBUG, trace=message.trace, by=source)
         self._register_awaiting(message, source, awaits)
 
     def _register_awaiting(self, message: Message, source: str, awaits: dict[str, Any]) -> None:
         self._awaiting[message.number] = message, source, awaits
-        self.outcome_sources[source].expect(message, awaits)
         left = max(0, message.decide_by - self.loop.now)
         self.loop.call_at(
             message.decide_by - min(OUTCOME_QUERY_MARGIN, left // 2),
             lambda: self.loop.spawn(self._overdue, message.number),
         )
+        with logs.contained("wait for an outcome", trace=message.trace):  # the message ends when it is overdue
+            self.outcome_sources[source].expect(message, awaits)
 
     def awaited_outcome(self, number: int) -> dict[str, Any]:
         """The data by which the awaited outcome of a message is recognized; ``KeyError`` if none is awaited."""
@@ -422,7 +487,8 @@
 
     def _stop_awaiting(self, number: int) -> None:
         message, source, _ = self._awaiting.pop(number)
-        self.outcome_sources[source].stop_waiting(message)
+        with logs.contained("end of the wait for an outcome", trace=message.trace):
+            self.outcome_sources[source].stop_waiting(message)
 
     def _overdue(self, number: int) -> None:
         """Query an outcome that is missing shortly before the deadline, and end the message.
@@ -450,15 +516,22 @@
         wait, as that end is not revoked by another call of a message that may be repeated.
         """
         decided_at = self.loop.now
-        while not self.journal.record_end(message.number, end.state, end.after_ms):
+        while not self._record_end(message, end):
             if message.number not in self.journal.entries:
                 break
             if end.state == DELIVERED or self.loop.now >= message.deadline:
-                self.journal.record_end_later(message.number, end.state, end.after_ms)
+                with logs.contained("journal of an end", trace=message.trace):
+                    self.journal.record_end_later(message.number, end.state, end.after_ms)
                 break
             self.loop.sleep(JOURNAL_RETRY_INTERVAL)
         self._report_end(message, end, decided_at)
 
+    def _record_end(self, message: Message, end: End) -> bool:
+        """Journal the final state; false if that fails, by an exception too."""
+        with logs.contained("journal of an end", trace=message.trace):
+            return self.journal.record_end(message.number, end.state, end.after_ms)
+        return False
+
     def _report_end(self, message: Message, end: End, decided_at: int) -> None:
         """Report a final state to the hooks, to the peers and to the sender side, and drop the message.
 
@@ -480,10 +553,26 @@
         if self.peers is not None:
             with logs.contained("peers at a message's end", trace=message.trace):
                 self.peers.message_ended(message, end)
-        message.sender.report_end(message, end)
-        self._note_answer(message, end, AnswerSteps(decided_at, recorded_at, self.loop.now))
+        self._tell_sender(message, end)
+        with logs.contained("time of an answer", trace=message.trace):
+            self._note_answer(message, end, AnswerSteps(decided_at, recorded_at, self.loop.now))
         self._drop(message, end.state)
 
+    def _tell_sender(self, message: Message, end: End) -> None:
+        """Report a final state to the sender side, again after a delay that doubles as long as an exception is raised.
+
+        Meanwhile the journal keeps the message, so that the next process reports it.
+        """
+        delay = INITIAL_REPORT_RETRY_DELAY
+        while True:
+            try:
+                message.sender.report_end(message, end)
+                return
+            except Exception:
+                logs.fault("report of an end", trace=message.trace, again_ms=delay // MS)
+            self.loop.sleep(delay)
+            delay = min(MAX_REPORT_RETRY_DELAY, 2 * delay)
+
     def _note_answer(self, message: Message, end: End, steps: AnswerSteps, recovered: bool = False) -> None:
         """Count an acknowledged final answer, and log by how much it was early or late."""
         time_left = steps.time_left(message.deadline)
@@ -510,7 +599,8 @@
         until = self.loop.now + self._remember_for
         self._ended.append((until, message.trace))
         self._known[message.trace] = EndedMessage(until, state, fingerprint(message))
-        self.journal.record_done(message.number)
+        with logs.contained("journal of a message that is done", trace=message.trace):
+            self.journal.record_done(message.number)
 
     def _answer_duplicate(self, message: Message, before: Message | EndedMessage) -> Answer | None:
         """The answer to a submission under a known id; None if it is to be processed as a new message.
@@ -541,7 +631,9 @@
         if before is not None and (answer := self._answer_duplicate(message, before)) is not None:
             return answer
         for hook in self.hooks:
-            verdict = hook.arrival(message)
+            verdict = None
+            with logs.contained("hook at an arrival", trace=message.trace):
+                verdict = hook.arrival(message)
             if verdict is not None:
                 return verdict
         if self.stale:
@@ -578,20 +670,22 @@
 
     def resume(self) -> None:
         """Recover the open messages from the journal; entries that can't be used are logged and stay there."""
-        joined = [
-            ujson.loads(entry.text)["extra"].get("joined", ())
-            for entry in self.journal.entries.values()
-            if '"joined"' in entry.text
-        ]
-        for number in {number for numbers in joined for number in numbers}:
-            self.journal.record_done(number)  # a part of a joined message that a crash left: see ``join``
+        for entry in [entry for entry in self.journal.entries.values() if '"joined"' in entry.text]:
+            with logs.contained("parts of a joined message", number=entry.number):
+                for number in ujson.loads(entry.text)["extra"].get("joined", ()):
+                    self.journal.record_done(number)  # a part that a crash left: see ``join``
         for entry in list(self.journal.entries.values()):
             try:
                 message = self._from_journal(entry)
-                held_by_sender = message.sender.recover(message)
-            except (KeyError, ValueError, TypeError, StopIteration) as error:
+            except Exception as error:  # whatever one entry is like, the others are recovered
                 logs.error("journal-unusable", number=entry.number, why=repr(error))
                 continue
+            try:
+                held_by_sender = message.sender.recover(message)
+            except Exception:  # without its sender side, it is unknown whether the message may be sent by itself
+                logs.fault("recovery by the sender side", trace=message.trace)
+                self._end_unrecovered(message, entry)
+                continue
             self._known[message.trace] = message
             logs.event(
                 "taken-up",
@@ -604,24 +698,40 @@
                 self.loop.spawn(self._report_recovered, message, End(entry.verdict, entry.after_ms))
                 continue
             self.open[entry.number] = message
-            if held_by_sender:
-                continue
-            if entry.awaits:
-                awaits = ujson.loads(entry.awaits)
-                source = awaits.pop("by")
-                if source in self.outcome_sources:
-                    self._register_awaiting(message, source, awaits)
-                else:  # the source's front end is disabled now: no outcome can arrive, and the message may have run
-                    self.loop.spawn(self._end, message, End(FAILED))
-                continue
-            since = None if entry.may_have_run_since is None else entry.may_have_run_since * NS_PER_US
-            self.loop.spawn(self._deliver, message, entry.attempts, since, True)
+            if not held_by_sender:
+                self._resume_message(message, entry)
+
+    def _end_unrecovered(self, message: Message, entry: Entry) -> None:
+        """End a message that its sender side could not recover, by its journalled state if it has one."""
+        self._known[message.trace] = message
+        if entry.verdict:
+            self.loop.spawn(self._report_recovered, message, End(entry.verdict, entry.after_ms))
+            return
+        self.open[entry.number] = message
+        may_have_run = entry.may_have_run_since is not None or bool(entry.awaits)
+        self.loop.spawn(self._end, message, End(FAILED if may_have_run else RETURNED))
+
+    def _resume_message(self, message: Message, entry: Entry) -> None:
+        """Go on with a recovered message that has no final state: wait for its outcome, or deliver it."""
+        if not entry.awaits:
+            self.loop.spawn(self._deliver, message, entry.attempts, _maybe_since_ns(entry), True)
+            return
+        is_awaited = False
+        with logs.contained("recovery of an awaited outcome", trace=message.trace):
+            awaits = ujson.loads(entry.awaits)
+            source = awaits.pop("by")
+            is_awaited = source in self.outcome_sources
+            if is_awaited:
+                self._register_awaiting(message, source, awaits)
+        if not is_awaited:  # the source's front end is disabled: no outcome can arrive, and the message may have run
+            self.loop.spawn(self._end, message, End(FAILED))
 
     def _report_recovered(self, message: Message, end: End) -> None:
         """Report a final state from before the restart, which the sender side may not have received."""
         started_at = self.loop.now
-        message.sender.report_end(message, end)
-        self._note_answer(message, end, AnswerSteps(started_at, started_at, self.loop.now), recovered=True)
+        self._tell_sender(message, end)
+        with logs.contained("time of an answer", trace=message.trace):
+            self._note_answer(message, end, AnswerSteps(started_at, started_at, self.loop.now), recovered=True)
         self._drop(message, end.state)
 
     def _from_journal(self, entry: Entry) -> Message:
@@ -856,3 +966,8 @@
         assert self.closing is not None
         may_try = bool(self.journal.entries) and self.loop.now <= self.closing + LAST_ATTEMPT_START
         return bool(self.attempts_in_flight) or may_try or any(busy() for busy in self.busy_checks)
+
+
+def _maybe_since_ns(entry: Entry) -> int | None:
+    """When the first attempt of a journalled message that may have run was sent, in ns; None: none can have run."""
+    return None if entry.may_have_run_since is None else entry.may_have_run_since * NS_PER_US
--- a/kestrelspar/core/messages.py
+++ b/kestrelspar/core/messages.py
@@ -67,6 +67,7 @@
     UNKNOWN_DEST = "unknown destination"
     DUPLICATE = "this id was handed in before"
     PLUGIN = "plug-in"
+    INTERNAL = "internal error"
     STALE = "the list of endpoints is too old:"
 
 
--- a/kestrelspar/journal/store.py
+++ b/kestrelspar/journal/store.py
@@ -520,3 +520,9 @@
         if number in self.entries:
             self._drop_entry(number)
             self._write_or_retry(records.record(DONE, number, b""))
+
+    def record_not_accepted(self, number: int) -> None:
+        """Record that a message is not accepted after all, if an exception interrupted ``record_accepted``."""
+        if number in self.entries:
+            self._drop_entry(number)
+        self._write_or_retry(records.record(DONE, number, b""))
--- a/kestrelspar/smpp/status_codes.py
+++ b/kestrelspar/smpp/status_codes.py
@@ -57,6 +57,7 @@
     RefusalReason.PLUGIN: Status.ESME_RTHROTTLED,
     RefusalReason.UNKNOWN_DEST: Status.ESME_RTHROTTLED,
     RefusalReason.STALE: Status.ESME_RTHROTTLED,
+    RefusalReason.INTERNAL: Status.ESME_RSYSERR,
 }
 REJECTIONS = {RefusalReason.UNKNOWN_DEST: Status.ESME_RINVDSTADR}
 
