HTTP: an exception in a request, a notice, the watch or an accept ends nothing else

An exception before a submission's answer closed the connection without one (which loses the message); one in a request of notices kept its connection to the platform in use for ever, and one in their task stopped all notices; one while a connection was accepted, or in discovery's watch, ended that task for good. A request target without a slash raised IndexError.

Now: a request or submission that raises is answered 503, which is harmless, unless an answer was given; notices are sent again 25 ms later; a spare connection that raises frees its place; the accept loop and the watch go on; one row of a list that can't be read takes no other.

What it costs: a client whose request raised is told 503 and may hand the message in again; before, its connection was closed.

--- a/kestrelspar/http/notices.py
+++ b/kestrelspar/http/notices.py
@@ -16,6 +16,7 @@
 RESPONSE_TIMEOUT = 2 * SECOND  # for writing a request and reading its response
 SPARE_WAIT = 250 * MS  # for a connection to come up, before one more is opened
 REQUEST_INTERVAL = 75 * MS  # between requests while not all spare connections are ready, so that notices share one
+FAULT_RETRY_DELAY = 25 * MS  # after an exception in the sending of notices
 MIN_LOGGED_REQUESTS = 3  # that carried a notice before it was acknowledged
 MIN_CONNECTIONS, MAX_CONNECTIONS = 8, 32  # to the platform
 DESCRIPTORS_PER_CONNECTION = 16  # of the courier's limit
@@ -111,6 +112,9 @@
                 others_are_due = bool(self._queue) and self._queue.next_due_at() <= self.loop.now
                 if self._spares.scarce and not others_are_due:
                     self.loop.sleep(REQUEST_INTERVAL)
+        except Exception:  # the notices are still owed
+            logs.fault("notices")
+            self.loop.call_at(self.loop.now + FAULT_RETRY_DELAY, self._wake)
         finally:
             self._sending = False
 
@@ -140,8 +144,10 @@
                 rested_ms=(started_at - connection.came_up_at) // MS,
                 connections=self._spares.counts(),
             )
-        status = self._post(connection.stream, "".join(notice.line + "\n" for notice in batch).encode())
-        self._spares.release(connection)
+        try:
+            status = self._post(connection.stream, "".join(notice.line + "\n" for notice in batch).encode())
+        finally:
+            self._spares.release(connection)
         if connection.address != self._spares.address:
             return
         if status is not None and 200 <= status < 300:
--- a/kestrelspar/http/sender.py
+++ b/kestrelspar/http/sender.py
@@ -105,24 +105,32 @@
     def accept(self, listener: socket.socket) -> None:
         """Accepts connections until the listener is closed."""
         self._listener = listener
-        while True:
-            self.loop.readable(listener, None)
-            for _ in range(MAX_ACCEPTS_PER_TURN):  # accepting one per turn would let silent clients delay others
-                try:
-                    sock, _ = listener.accept()
-                except BlockingIOError:
-                    break
-                except OSError as error:
-                    if listener.fileno() < 0:
-                        return
-                    self._log_throttled("not-accepted", str(error))
-                    if error.errno not in ACCEPT_EXHAUSTED:
-                        continue  # this one connection failed; the next one in the queue need not
-                    self.loop.sleep(ACCEPT_RETRY_DELAY)  # the listener stays readable
-                    break
-                while self.count >= self._max_connections and not self._make_room():
-                    self.loop.sleep(5 * MS)  # this connection and those queued behind it wait for another to close
-                self._start_connection(sock)
+        while listener.fileno() >= 0:
+            try:
+                self._accept_pending(listener)
+            except Exception:  # other clients can still be served
+                logs.fault("accept", front="http")
+                self.loop.sleep(ACCEPT_RETRY_DELAY)
+
+    def _accept_pending(self, listener: socket.socket) -> None:
+        """Waits for connections, and accepts those in the backlog."""
+        self.loop.readable(listener, None)
+        for _ in range(MAX_ACCEPTS_PER_TURN):  # accepting one per turn would let silent clients delay others
+            try:
+                sock, _ = listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if listener.fileno() < 0:
+                    return
+                self._log_throttled("not-accepted", str(error))
+                if error.errno not in ACCEPT_EXHAUSTED:
+                    continue  # this one connection failed; the next one in the queue need not
+                self.loop.sleep(ACCEPT_RETRY_DELAY)  # the listener stays readable
+                return
+            while self.count >= self._max_connections and not self._make_room():
+                self.loop.sleep(5 * MS)  # this connection and those queued behind it wait for another to close
+            self._start_connection(sock)
 
     def _start_connection(self, sock: socket.socket) -> None:
         """Start to serve a connection, unless it fails already, as one that the client has reset may."""
@@ -299,6 +307,12 @@
             self._log_throttled("request-rejected", "request incomplete at the time-out")
             stream.write(parser.response(408, keep=False), self.loop.now + WRITE_TIMEOUT)
             return False
+        except ConnectionClosedError:
+            raise
+        except Exception:  # nothing has been submitted, so submitting it again is harmless
+            logs.fault("request", front="http")
+            stream.write(parser.response(503, b"internal error\n", keep=False), self.loop.now + WRITE_TIMEOUT)
+            return False
         responded = Suspension(self.loop)
         self.loop.spawn(self._submit, message, stream, keep, responded)
         return bool(self.loop.park(responded)) and keep
@@ -309,9 +323,12 @@
         It passes True if a response was written, False if that failed or the submission ended without a response.
         """
 
+        has_answer = False
+
         def respond(answer: Answer) -> bool:
             """Writes the response; returns whether it was a 202, so that the courier is responsible for the message."""
-            accepted = False
+            nonlocal has_answer
+            has_answer, accepted = True, False
             try:
                 if answer.accepted and not stream.peer_closed():
                     stream.write(parser.response(202, keep=keep), self.loop.now + WRITE_TIMEOUT)
@@ -341,6 +358,10 @@
 
         try:
             self.courier.submit(message, respond)
+        except Exception:
+            logs.fault("submission", trace=message.trace)
+            if not has_answer:  # the message is not accepted: submitting it again is harmless
+                respond(Answer(False, True, RefusalReason.INTERNAL))
         finally:
             responded.resume(False)
 
@@ -369,8 +390,8 @@
         trace = headers.get("x-trace-id", "")
         if not trace or len(trace) > 128 or not trace.isascii() or not trace.isprintable():
             raise parser.MalformedMessageError("X-Trace-Id missing or unusable")
-        name = headers.get("x-qos", "") or path.split("/")[1]
         path_class = path.split("/")[1] if path.startswith("/") else ""
+        name = headers.get("x-qos", "") or path_class
         cls = next(self._indices(name, settings.classes), None)
         if cls is None or path_class != name:
             raise parser.MalformedMessageError(f"unknown class {path_class!r:.40}", 404)
--- a/kestrelspar/http/spare_connections.py
+++ b/kestrelspar/http/spare_connections.py
@@ -165,11 +165,11 @@
         try:
             sock = dial(self.loop, address, self.loop.now + CONNECT_TIMEOUT)
         except ConnectError as error:
-            self._opening[address] -= 1
             if address == self.address:
                 self._note_failure(error)
             return
-        self._opening[address] -= 1
+        finally:
+            self._opening[address] -= 1
         spare = SpareConnection(Stream(self.loop, sock, self.buffers), address, self.loop.now)
         self._ready.append(spare)
         if address == self.address and self._failures:
--- a/kestrelspar/http/watch.py
+++ b/kestrelspar/http/watch.py
@@ -146,7 +146,7 @@
             for row in batch:
                 try:
                     hops.append(hop_from_row(row, self.courier.settings, self.carrier))
-                except (ValueError, KeyError, TypeError, OverflowError) as error:
+                except Exception as error:  # whatever one row is like, the others are used
                     logs.warn("map-bad-entry", source=SOURCE, why=repr(error), got=f"{row!r:.160}")
         return hops
 
@@ -174,7 +174,9 @@
             self.loop.sleep(self._backoff.initial_delay())
         while move_count == self._move_count:
             self._silent_for, self._headers_timed_out = 0, False
-            received = self._watch()
+            received = False
+            with logs.contained("watch of discovery"):
+                received = self._watch()
             if move_count != self._move_count:
                 return
             delay = self._backoff.next_delay(received, self._silent_for, self._headers_timed_out)
