SMPP: an exception in one PDU, submit, part, receipt or bind ends nothing else

An exception in one request ended its session, so that all other submits on it counted as lost; a failed submission kept its place in the account's window; parts whose last one raised were neither held nor joined; the messages of a submit_multi waited for ever for a response that could not be encoded; a receipt or message of a gateway got no response; a bind that raised left its senders waiting.

Now each of them is answered (ESME_RSYSERR, or a temporary error to a gateway), and ends alone. Parts that can't be joined are tried again each second while they have time. A submit that raises closes its session, so that no call stays out unread.

What it costs: a submit that raises after it was written loses the session's other submits (they did before, too). A part whose hold raises ends as failed, as before it was lost.

--- a/kestrelspar/smpp/client.py
+++ b/kestrelspar/smpp/client.py
@@ -263,8 +263,12 @@
             bound.window.record_loss(self.loop.now)
             bound.session.drain()
             return Result(Outcome.TIMEOUT)
-        must_report = link.record_response(bound, sent, response)
-        result = self._result(gateway, response)
+        except Exception:
+            bound.session.close()  # the submit must not stay out where nobody waits for its response
+            raise
+        result, must_report = self._result(gateway, response), True
+        with logs.contained("flow control", trace=message.trace, hop=gateway.name):
+            must_report = link.record_response(bound, sent, response)
         if result.outcome is Outcome.FULL and not must_report:
             # After ESME_RTHROTTLED and ESME_RMSGQFUL rate control already delays all submits to this gateway. The
             # refusal is not reported, as the decision module would count each refusal of one burst. ESME_RX_T_APPN is
@@ -357,7 +361,15 @@
         return RETURNED if response.command is Command.CANCEL_SM_RESP and not response.status else FAILED
 
     def _handle_receipt(self, link: Link, bound: BoundSession, pdu: Pdu) -> None:
-        """Handle a receipt in its own task; acknowledge it after its outcome has been journalled.
+        """Handle a receipt in its own task; after an exception the gateway is to send it again."""
+        try:
+            self._process_receipt(link, bound, pdu)
+        except Exception:
+            logs.fault("receipt", peer=bound.session.name, sequence=pdu.sequence)
+            bound.session.send(pdu.reply(Status.ESME_RX_T_APPN))
+
+    def _process_receipt(self, link: Link, bound: BoundSession, pdu: Pdu) -> None:
+        """Acknowledge a receipt after its outcome has been journalled.
 
         A receipt that cannot be read, or that no message waits for, is logged and acknowledged without effect.
         """
--- a/kestrelspar/smpp/inbound.py
+++ b/kestrelspar/smpp/inbound.py
@@ -31,8 +31,19 @@
         """Process a deliver_sm or data_sm in the task of its message.
 
         The response is sent as soon as the message is journalled or refused; the message is accepted only if ``answer``
-        returns that the response was written.
+        returns that the response was written. After an exception the gateway is told to send the message again.
         """
+        try:
+            message = self._build_message(gateway, pdu, answer)
+        except Exception:
+            logs.fault("submission", peer=gateway.name, sequence=pdu.sequence)
+            answer(DEFERRED_STATUS)
+            return
+        if message is not None:
+            self._submit(gateway, message, answer)
+
+    def _build_message(self, gateway: Gateway, pdu: Pdu, answer: Callable[[Status], bool]) -> Message | None:
+        """Build the message of a deliver_sm or data_sm; None if it is refused, which is answered here."""
         payload = pdu.tlv(p.MESSAGE_PAYLOAD)
         body = pdu.message if payload is None else payload
         tlvs = [(tag, value.hex()) for tag, value in pdu.tlvs if tag != p.MESSAGE_PAYLOAD]
@@ -40,13 +51,13 @@
         prefix = max((known for known in gateway.inbound if address.startswith(known)), key=len, default=None)
         if prefix is None:
             self._refuse(gateway, pdu, answer, Status.ESME_RINVDSTADR)
-            return
+            return None
         if len(body) > p.MAX_BODY_BYTES or payload is not None and pdu.message:
             self._refuse(gateway, pdu, answer, Status.ESME_RINVMSGLEN)
-            return
+            return None
         if sum(len(value) for _, value in tlvs) > 2 * p.MAX_TLV_BYTES:  # the values are hexadecimal here
             self._refuse(gateway, pdu, answer, Status.ESME_ROPTPARNOTALLWD)
-            return
+            return None
         trace = os.urandom(8).hex()
         settings = self._courier.settings
         deadline = self._courier.loop.now + settings.classes[gateway.inbound_class].deadline_ns // 1000
@@ -57,7 +68,7 @@
             "payload": payload is not None,
             "submitted": int(time.time()),
         }
-        message = Message(
+        return Message(
             trace,
             gateway.inbound_class,
             gateway.inbound_tenant,
@@ -69,7 +80,14 @@
             extra,
         )
 
+    def _submit(self, gateway: Gateway, message: Message, answer: Callable[[Status], bool]) -> None:
+        """Submit a message, and answer its gateway."""
+        trace = message.trace
+        has_answer = False
+
         def respond(result: Answer) -> bool:
+            nonlocal has_answer
+            has_answer = True
             if result.accepted:
                 return answer(Status.ESME_ROK)
             logs.event("deferred" if result.defer else "rejected", trace=trace, why=result.reason, front=self.name)
@@ -77,7 +95,12 @@
             answer(DEFERRED_STATUS if result.defer else status)
             return False
 
-        self._courier.submit(message, respond)
+        try:
+            self._courier.submit(message, respond)
+        except Exception:
+            logs.fault("submission", trace=trace, peer=gateway.name)
+            if not has_answer:  # the message is not accepted; the gateway may send it again
+                answer(DEFERRED_STATUS)
 
     @staticmethod
     def _refuse(gateway: Gateway, pdu: Pdu, answer: Callable[[Status], bool], status: Status) -> None:
--- a/kestrelspar/smpp/link.py
+++ b/kestrelspar/smpp/link.py
@@ -8,7 +8,7 @@
 
 from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BufferPool, DeadlineExceededError, Stream
-from kestrelspar.runtime.loop import Loop, Suspension, Timer, connect
+from kestrelspar.runtime.loop import MS, Loop, Suspension, Timer, connect
 from kestrelspar.settings.resolve import Gateway
 from kestrelspar.smpp import pdu as p
 from kestrelspar.smpp.flow_control import Backoff, RateControl, Window
@@ -29,6 +29,7 @@
 # An early retry after one of these cannot succeed, and may lock the account.
 PERMANENT_BIND_ERRORS = (Status.ESME_RINVPASWD, Status.ESME_RINVSYSID)
 SLOW_START_DIVISOR = 4  # the first session after a failure starts with its window divided by this
+FAULT_RETRY_DELAY = 100 * MS  # after an exception in the assignment of sessions to senders
 RequestHandler = Callable[["Link", "BoundSession", Pdu], None]
 
 
@@ -135,7 +136,18 @@
         return [bound for bound in self.sessions if bound.open and bound.session.state in TRANSMITTING_STATES]
 
     def _serve_queue(self) -> None:
-        """Serve waiting senders as far as sessions, windows and rate allow; bind another session if one is needed."""
+        """Serve waiting senders as far as sessions, windows and rate allow; bind another session if one is needed.
+
+        An exception is logged, and the senders are served after a pause: whoever calls this has other work to end.
+        """
+        try:
+            self._assign_sessions()
+        except Exception:
+            logs.fault("assignment of sessions", peer=self.gateway.name)
+            self._serve_queue_at(self.loop.now + FAULT_RETRY_DELAY)
+
+    def _assign_sessions(self) -> None:
+        """The steps of ``_serve_queue``."""
         while self._queue:
             if self._queue[0].resumed:  # the deadline of this sender has passed
                 self._queue.popleft()
@@ -185,8 +197,12 @@
         return True
 
     def _run_bind(self, command: Command) -> None:
+        succeeded = False
         try:
             succeeded = self._connect_and_bind(command)
+        except Exception:
+            logs.fault("bind", peer=self.gateway.name)
+            self._bind_failed("internal error")
         finally:
             self._binding = False
         if succeeded:
--- a/kestrelspar/smpp/receivers.py
+++ b/kestrelspar/smpp/receivers.py
@@ -84,6 +84,9 @@
             # A deliver_sm cannot be withdrawn, so its session is closed before the message may be sent on another one.
             session.close()
             return Result(Outcome.TIMEOUT)
+        except Exception:
+            session.close()  # the deliver_sm must not stay out where nobody waits for its response
+            raise
         if response.command is not Command.DELIVER_SM_RESP:
             return Result(Outcome.ERROR, note=response.command.name.lower())
         return status_codes.result_of(response.status, NOT_BOUND_RETRY_AFTER)
--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -46,6 +46,8 @@
 MIN_UNBOUND_AGE = 50 * MS  # a younger connection is not closed to make room, as it may be about to bind
 MIN_PART_REPORT_TIME = 200 * MS  # left of a part's time when a message that lacks others is given up
 OUTBIND_INTERVAL = 5 * SECOND  # minimum time between two outbinds to one account
+ACCEPT_RETRY_DELAY = 20 * MS  # after a connection that could not be accepted
+REASSEMBLY_RETRY_DELAY = 1 * SECOND  # after a long message that could not be journalled
 MAX_REFUSED_BINDS = 3  # refused binds and outbinds after which a connection is closed
 EXPIRED_MARGIN = REPORT_TIME + 100 * MS  # an end that is decided so long before a message's deadline counts as expired
 INITIAL_RETRY_DELAY, MAX_RETRY_DELAY = 100 * MS, 5 * SECOND  # before a receipt is sent again
@@ -138,31 +140,39 @@
     def accept(self, listener: socket.socket) -> None:
         """Accept connections as long as the process runs."""
         while True:
-            self.loop.readable(listener, None)
             try:
-                sock, peer = listener.accept()
-            except BlockingIOError:
-                continue
-            except OSError as error:
-                logs.warn("not-accepted", front="smpp", why=str(error))
-                self.loop.sleep(20 * MS)
-                continue
-            # A throttled address gets no response to its connections; its refused binds got one.
-            if self._bind_throttle.is_throttled(peer[0], self.loop.now):
-                sock.close()
-                continue
-            if len(self._connections) >= self.config.max_sessions and not self._make_room():
-                logs.warn("smpp-too-many")
-                sock.close()
-                continue
-            try:
-                sock.setblocking(False)
-                disable_send_delay(sock)
-            except OSError as error:  # the client may have reset it already
-                logs.warn("not-accepted", front="smpp", why=str(error))
-                close_socket(self.loop, sock)
-                continue
-            self.loop.spawn(self._serve_connection, sock, f"{peer[0]}:{peer[1]}")
+                self._accept_next(listener)
+            except Exception:  # other clients can still be served
+                logs.fault("accept", front="smpp")
+                self.loop.sleep(ACCEPT_RETRY_DELAY)
+
+    def _accept_next(self, listener: socket.socket) -> None:
+        """Wait for a connection, and serve it in a task of its own unless there is no room for it."""
+        self.loop.readable(listener, None)
+        try:
+            sock, peer = listener.accept()
+        except BlockingIOError:
+            return
+        except OSError as error:
+            logs.warn("not-accepted", front="smpp", why=str(error))
+            self.loop.sleep(ACCEPT_RETRY_DELAY)
+            return
+        # A throttled address gets no response to its connections; its refused binds got one.
+        if self._bind_throttle.is_throttled(peer[0], self.loop.now):
+            sock.close()
+            return
+        if len(self._connections) >= self.config.max_sessions and not self._make_room():
+            logs.warn("smpp-too-many")
+            sock.close()
+            return
+        try:
+            sock.setblocking(False)
+            disable_send_delay(sock)
+        except OSError as error:  # the client may have reset it already
+            logs.warn("not-accepted", front="smpp", why=str(error))
+            close_socket(self.loop, sock)
+            return
+        self.loop.spawn(self._serve_connection, sock, f"{peer[0]}:{peer[1]}")
 
     def _make_room(self) -> bool:
         """Close the oldest connection that has not bound, so that idle connections cannot lock clients out.
@@ -366,6 +376,7 @@
 
     def _submit(self, client: ClientConnection, account: Account, pdu: Pdu) -> None:
         """Process a submit_sm or data_sm in the task of its message; a part is held until its message is complete."""
+        has_answer = False
         try:
             message = self._build_message(account, pdu)
         except _SubmitRefusedError as error:
@@ -373,9 +384,16 @@
             logs.event("smpp-submit-refused", peer=client.session.name, sequence=pdu.sequence, status=error.status.name)
             client.session.send(pdu.reply(error.status))
             return
+        except Exception:
+            logs.fault("submission", peer=client.session.name, sequence=pdu.sequence)
+            client.pending_submits -= 1
+            client.session.send(pdu.reply(Status.ESME_RSYSERR))
+            return
 
         def answer(result: Answer) -> bool:
             """Send the response; returns whether the message was accepted and its message_id sent to the client."""
+            nonlocal has_answer
+            has_answer = True
             client.pending_submits -= 1
             if not result.accepted:
                 logs.event(
@@ -389,18 +407,33 @@
                 message, connected and client.session.send(pdu.reply(message_id=message.trace))
             )
 
-        if "part" not in message.extra:
-            self.courier.submit(message, answer)
-            return
-        part, key = parts.Part(**message.extra["part"]), _reassembly_key(message)
-        disposition, original = self._reassembler.classify(key, part, len(message.body))
-        if disposition is PartDisposition.REPEATED and original in self._held_parts:  # the first response was lost
-            client.pending_submits -= 1
-            client.session.send(pdu.reply(message_id=self._held_parts[original].trace))
-        elif disposition is PartDisposition.NO_ROOM:
-            answer(Answer(False, True, RefusalReason.FULL))
-        elif self.courier.accept(message, answer):
+        try:
+            if "part" not in message.extra:
+                self.courier.submit(message, answer)
+                return
+            part, key = parts.Part(**message.extra["part"]), _reassembly_key(message)
+            disposition, original = self._reassembler.classify(key, part, len(message.body))
+            if disposition is PartDisposition.REPEATED and original in self._held_parts:  # the first response was lost
+                has_answer = True
+                client.pending_submits -= 1
+                client.session.send(pdu.reply(message_id=self._held_parts[original].trace))
+            elif disposition is PartDisposition.NO_ROOM:
+                answer(Answer(False, True, RefusalReason.FULL))
+            elif self.courier.accept(message, answer):
+                self._hold_or_fail_part(message)
+        except Exception:
+            logs.fault("submission", trace=message.trace, peer=client.session.name)
+            if not has_answer:  # the message is not accepted
+                answer(Answer(False, True, RefusalReason.INTERNAL))
+
+    def _hold_or_fail_part(self, message: Message) -> None:
+        """Hold an accepted part; after an exception it ends as failed."""
+        try:
             self._hold_part(message)
+        except Exception:
+            logs.fault("part of a long message", trace=message.trace)
+            if self.courier.find(message.trace) is message:
+                self._fail_part(message)
 
     def _hold_part(self, message: Message) -> None:
         """Hold an accepted part until the other parts have arrived; if it is the last one, reassemble the message.
@@ -432,7 +465,8 @@
         """End the parts of all expired incomplete messages, each with its own final state."""
         for expired in self._reassembler.pop_expired(self.loop.now):
             for number in expired.numbers:
-                self._fail_part(self._held_parts[number])
+                with logs.contained("expired part", number=number):
+                    self._fail_part(self._held_parts[number])
         self._schedule_expiry()
 
     def _fail_part(self, message: Message) -> None:
@@ -442,8 +476,25 @@
     def _reassemble(self, held: list[Message]) -> None:
         """Replace the parts by one message, which owes a receipt for each of them.
 
-        If the journal has no room for it, this is repeated each second; the parts fail in time for their reports.
+        If the journal has no room for it, or after an exception, this is repeated each second; the parts fail in time
+        for their reports.
         """
+        try:
+            is_joined = self._join(held)
+        except Exception:
+            logs.fault("long message", trace=held[0].trace)
+            is_joined = False
+        if is_joined:
+            return
+        decide_by = min(part.decide_by for part in held)
+        if self.loop.now >= decide_by:
+            for part in held:
+                self._fail_part(part)
+            return
+        self.loop.call_at(min(decide_by, self.loop.now + REASSEMBLY_RETRY_DELAY), lambda: self._reassemble(held))
+
+    def _join(self, held: list[Message]) -> bool:
+        """Replace the parts by one message; false if it can't be journalled now."""
         first = held[0]
         fields = first.extra["smpp"] | {"esm_class": first.extra["smpp"]["esm_class"] & ~parts.UDHI}
         receipts_owed = [
@@ -466,17 +517,13 @@
             start=max(m.start for m in held),
         )
         if not self.courier.join(reassembled, held):
-            decide_by = min(part.decide_by for part in held)
-            if self.loop.now >= decide_by:
-                for part in held:
-                    self._fail_part(part)
-                return
-            self.loop.call_at(min(decide_by, self.loop.now + SECOND), lambda: self._reassemble(held))
-            return
-        for part in held:
-            self._held_parts.pop(part.number, None)
-            self._unregister_open(part)
-        self._register_open(reassembled)
+            return False
+        with logs.contained("parts of a long message", trace=trace):
+            for part in held:
+                self._held_parts.pop(part.number, None)
+                self._unregister_open(part)
+            self._register_open(reassembled)
+        return True
 
     def _confirm_acceptance(self, message: Message, response_sent: bool) -> bool:
         """Register an open message if the positive response was sent to its client; otherwise it is not accepted."""
@@ -514,6 +561,9 @@
                 )
             except _SubmitRefusedError as error:
                 unsuccessful.append(p.Unsuccess(dest.addr, dest.ton, dest.npi, error.status))
+            except Exception:
+                logs.fault("submission", peer=client.session.name, sequence=pdu.sequence)
+                unsuccessful.append(p.Unsuccess(dest.addr, dest.ton, dest.npi, Status.ESME_RSYSERR))
         accepted: list[tuple[Message, Suspension]] = []
         undecided = [len(messages)]
         all_decided = Suspension(self.loop)
@@ -530,9 +580,15 @@
                 response.unsuccess = unsuccessful
             else:
                 response = pdu.reply(unsuccessful[0].status if unsuccessful else Status.ESME_RSUBMITFAIL)
-            response_sent = connected and client.session.send(response)
-            for message, confirmation in accepted:
-                confirmation.resume(self._confirm_acceptance(message, response_sent))
+            response_sent = False
+            try:
+                response_sent = connected and client.session.send(response)
+            except Exception:
+                logs.fault("response to a submit_multi", peer=client.session.name, sequence=pdu.sequence)
+                client.session.send(pdu.reply(Status.ESME_RSYSERR))
+            finally:  # each task of an accepted message waits for this
+                for message, confirmation in accepted:
+                    confirmation.resume(self._confirm_acceptance(message, response_sent))
 
         def count_decision() -> None:
             undecided[0] -= 1
@@ -674,7 +730,7 @@
         if entry.attempts or entry.awaits or "shown" in message.extra:
             del message.extra["part"]
             return False
-        self.loop.spawn(self._hold_part, message)
+        self.loop.spawn(self._hold_or_fail_part, message)
         return True
 
     def _unregister_open(self, message: Message) -> None:
--- a/kestrelspar/smpp/session.py
+++ b/kestrelspar/smpp/session.py
@@ -57,10 +57,7 @@
                 data = bytes(received[:size])
                 del received[:size]
                 self.last_received_at = self.loop.now
-                try:
-                    self._dispatch(p.decode(data), handle)
-                except p.MalformedPduError as error:
-                    self._reject(error)
+                self._process(data, handle)
         except p.FramingError as error:
             logs.warn("smpp-bad-pdu", peer=self.name, why=str(error), closed=True)
             self.send(Pdu(Command.GENERIC_NACK, 0, Status.ESME_RINVCMDLEN))
@@ -69,6 +66,25 @@
         finally:
             self.close()
 
+    def _process(self, data: bytes, handle: Callable[[Pdu], None]) -> None:
+        """Decode one PDU and handle it; an exception concerns this PDU alone, as others need the session."""
+        try:
+            pdu = p.decode(data)
+        except p.MalformedPduError as error:
+            self._reject(error)
+            return
+        except Exception:
+            logs.fault("pdu", peer=self.name)
+            return
+        try:
+            self._dispatch(pdu, handle)
+        except (ConnectionClosedError, DeadlineExceededError):
+            raise
+        except Exception:
+            logs.fault("pdu", peer=self.name, command=pdu.command.name.lower(), sequence=pdu.sequence)
+            if not pdu.command & p.RESPONSE and pdu.command | p.RESPONSE in set(Command):
+                self.send(pdu.reply(Status.ESME_RSYSERR))
+
     def _dispatch(self, pdu: Pdu, handle: Callable[[Pdu], None]) -> None:
         if pdu.command & p.RESPONSE:
             pending = self._pending.pop(pdu.sequence, None)
@@ -254,4 +270,5 @@
         for suspension in [*(waiting for _, waiting in self._pending.values()), *self._write_queue]:
             suspension.resume(None)
         for on_late in self._late_handlers.values():
-            on_late(None)
+            with logs.contained("request without a response", peer=self.name):
+                on_late(None)
