A Retry-After of over 30 s counts for 30 s until a later call confirms it

Now such a delay is cut to 30 s; a call made after that confirms it if it is told a long one again, and then it counts in full, up to the hour. Calls that were out already confirm nothing. The cut holds for whatever follows from the delay: pacing, the begin of the recovery, the limit.

Siblings looked at: routes with limits of their own and shared ones; 429, 503 and damaged responses (one place for all outcomes); SMPP tells no delay of its own; delays heard from other couriers were bounded by 2 s already.

What it costs: a delay of over 30 s that is meant gets one call after 30 s, once for each outage. Up to 30 s nothing changes.

--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -13,6 +13,8 @@
 from collections import deque
 from collections.abc import Iterable
 
+from msgspec.structs import replace
+
 from snowlock import interface as api
 from snowlock.interface import Outcome, Safety
 from snowlock.state import NEVER, Call, Destination, Message, Route
@@ -95,6 +97,8 @@
 # A reported rate below this share of the known one may be noise, and counts once the next report confirms it
 # up to the factor.
 DOUBTFUL_RATE_SHARE, CONFIRMING_FACTOR = 0.1, 2.0
+# A longer retry-after may be noise: it counts for this time, and in full once a call after that is told one.
+MAX_UNCONFIRMED_RETRY_AFTER = 30 * SECOND
 # Without outcomes, the call interval halves in this time, or in twice the interval if that is longer.
 INTERVAL_HALF_LIFE = 10 * SECOND
 TENANT_BURST = 2 * SECOND  # a tenant may be ahead of its rate by the messages of this time
@@ -1031,9 +1035,12 @@
             self.inflight -= 1
         route.last_outcome_at = self.now
         # A retry-after is respected with any outcome: a damaged answer may carry a genuine one.
+        barred = route if dest.separate_limits else dest
         if event.wait_ns:
-            barred = dest if not dest.separate_limits else route
+            event = replace(event, wait_ns=self._credible_retry_after(barred, sent, event.wait_ns))
             barred.retry_after_until = max(barred.retry_after_until, self.now + event.wait_ns)
+        elif outcome is Outcome.OK and barred.unconfirmed_until <= sent:
+            barred.unconfirmed_until = 0
         if outcome in (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
             if not message.may_have_run:
                 message.may_have_run, message.zone = True, route.zone
@@ -1069,6 +1076,19 @@
             self._retry_or_abandon(message, route, outcome)
         return dest
 
+    def _credible_retry_after(self, barred: Destination | Route, sent: int, retry_after: int) -> int:
+        """Return for how long a retry-after counts that a call was told which began at ``sent``.
+
+        Nothing tells a long delay that is meant from noise in one response, which must not stop a destination
+        for long. So the first one is cut; a call that is made after that confirms it if it is told one again.
+        """
+        confirmed = 0 < barred.unconfirmed_until <= sent
+        if retry_after <= MAX_UNCONFIRMED_RETRY_AFTER or confirmed:
+            barred.unconfirmed_until = 0
+            return retry_after
+        barred.unconfirmed_until = self.now + MAX_UNCONFIRMED_RETRY_AFTER
+        return MAX_UNCONFIRMED_RETRY_AFTER
+
     def _learn(self, call: Call, event: api.AttemptEnded, class_index: int) -> None:
         """Update all estimates from the outcome of a call."""
         route, dest, outcome = call.route, call.route.dest, event.outcome
--- a/snowlock/state.py
+++ b/snowlock/state.py
@@ -67,6 +67,7 @@
         "wake_at",
         "max_attempts",
         "retry_after_until",
+        "unconfirmed_until",
         "separate_limits",
         "limit",
         "mean_latency",
@@ -83,6 +84,7 @@
         self.wake_at = self.max_attempts = NEVER
         # End of a retry-after, where routes share a limit; applies to routes listed later too.
         self.retry_after_until = 0
+        self.unconfirmed_until = 0  # that end, if the delay was cut as it may be noise; 0: it was not
         self.separate_limits, self.mean_latency = False, 0.0  # separate_limits: each route has its own limit
         # Shared by its routes, or with separate_limits that of the route listed last; None before the first.
         self.limit: Limit | None = None
@@ -105,6 +107,7 @@
         "limit",
         "inflight",
         "retry_after_until",
+        "unconfirmed_until",
         "failures",
         "successes",
         "last_call_at",
@@ -131,6 +134,7 @@
         self.max_timeout = self.max_failures = NEVER  # bounds set by operators; NEVER: none
         self.limit = limit
         self.inflight = self.retry_after_until = self.failures = self.successes = 0
+        self.unconfirmed_until = 0  # see ``Destination``
         self.last_call_at = self.previous_call_at = self.last_success_at = -NEVER
         # Time of the first failure, or refusal by a closed route, since the last OK; 0: none. While the route
         # is down, an OK does not reset it.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -247,3 +247,43 @@
         f.wait(SECOND)
     f.wait(5 * SECOND)
     assert all(r.down for r in f.controller.routes.values()) and len(f.sends) == 3
+
+
+def test_a_long_retry_after_of_one_response_stops_a_destination_for_a_bounded_time() -> None:
+    # Guards against noise in one Retry-After that stops a destination for an hour.
+    for kind in (0, 1):  # routes with limits of their own, and routes that share one
+        f = Forwarder(settings(message_class(deadline_ns=600 * SECOND)))
+        f.endpoints("a", kind=kind)
+        assert f.arrive(1) and f.arrive(2)
+        f.outcome(1, Outcome.FULL, wait_ns=3_600 * SECOND)
+        f.wait(200 * MS)
+        f.outcome(2, Outcome.FULL, wait_ns=3_600 * SECOND)  # of a call that was out already: it confirms nothing
+        assert f.wait(29 * SECOND) == []
+        assert f.wait(20 * SECOND), "called again"
+        while f.in_flight:
+            f.outcome(next(iter(f.in_flight))[0], Outcome.OK)
+            f.wait(10 * SECOND)
+        assert len(f.answers) == 2
+
+
+def test_a_long_retry_after_that_is_told_again_is_kept() -> None:
+    # Guards against calls each half minute to a destination that means what it tells.
+    f = Forwarder(settings(message_class(deadline_ns=600 * SECOND)))
+    f.endpoints("a")
+    assert f.arrive(1)
+    f.outcome(1, Outcome.FULL, wait_ns=300 * SECOND)
+    assert len(f.wait(60 * SECOND)) == 1
+    f.outcome(1, Outcome.FULL, wait_ns=240 * SECOND)
+    assert f.wait(239 * SECOND) == [] and f.wait(60 * SECOND)
+    f.outcome(1, Outcome.OK)
+    assert f.arrive(2)
+    f.outcome(2, Outcome.FULL, wait_ns=300 * SECOND)
+    assert f.wait(60 * SECOND), "the delay of another response is doubtful again"
+
+
+def test_a_retry_after_of_half_a_minute_is_kept_at_once() -> None:
+    f = Forwarder(settings(message_class(deadline_ns=600 * SECOND)))
+    f.endpoints("a")
+    assert f.arrive(1)
+    f.outcome(1, Outcome.FULL, wait_ns=30 * SECOND)
+    assert f.wait(30 * SECOND - MS) == [] and f.wait(30 * SECOND)
