Noise that raises a reported limit is taken back by the next report

What callers saw: since a report of a limit above ten times the known one counted at once, as before, but the honest one after it looked doubtful: calls were made above the limit for two responses instead of one.

Now the limit that was known before such a rise is remembered, and a report near it counts at once.

--- a/snowlock/control.py
+++ b/snowlock/control.py
@@ -90,10 +90,8 @@
 # A reported rate that differs from the known one by less than this share is noise, and enters an average with
 # weight RATE_GAIN.
 RATE_NOISE_BAND, RATE_GAIN = 0.3, 0.3
-MIN_RATE, MAX_RATE = (
-    0.01,
-    1e6,
-)  # calls a second: a reported rate outside of this range is noise; 0 means no limit
+# Calls a second: a reported rate outside of this range is noise; 0 means no limit.
+MIN_RATE, MAX_RATE = 0.01, 1e6
 # A reported rate below this share of the known one may be noise, and counts once the next report confirms it
 # up to the factor.
 DOUBTFUL_RATE_SHARE, CONFIRMING_FACTOR = 0.1, 2.0
@@ -136,6 +134,7 @@
     __slots__ = (
         "rate",
         "doubtful_rate",
+        "rate_before_rise",
         "interval",
         "jitter",
         "theoretical_arrival",
@@ -151,6 +150,7 @@
     def __init__(self) -> None:
         self.rate = 0.0  # reported limit in calls a second over all forwarders; 0: unknown
         self.doubtful_rate = 0.0  # the last reported limit if it is not believed yet, else 0
+        self.rate_before_rise = 0.0  # the limit that was known before the last rise by more than tenfold
         # This forwarder's agreed share of the limit in calls a second; 0: no share was agreed.
         self.share = 0.0
         # ns between calls; estimated from refusals and answers, as other forwarders' calls are not seen.
@@ -165,14 +165,16 @@
         """Return the limit to count with after a report: the known one while the reported one is doubtful.
 
         Noise in one response could otherwise stop the calls for hours, as the call interval follows from the
-        limit and is corrected by the next answer only.
+        limit and is corrected by the next answer only. A rise counts at once, and is taken back at once.
         """
         doubtful, self.doubtful_rate = self.doubtful_rate, 0.0
         if reported and not MIN_RATE < reported < MAX_RATE:
             return self.rate
+        if reported * DOUBTFUL_RATE_SHARE > self.rate:
+            self.rate_before_rise = self.rate
         if not reported or reported >= DOUBTFUL_RATE_SHARE * (self.rate or DEFAULT_RATE):
             return reported
-        if doubtful and doubtful / CONFIRMING_FACTOR <= reported <= doubtful * CONFIRMING_FACTOR:
+        if _is_similar_rate(reported, doubtful) or _is_similar_rate(reported, self.rate_before_rise):
             return reported
         self.doubtful_rate = reported
         return self.rate
@@ -221,6 +223,11 @@
         self.updated_at = now
 
 
+def _is_similar_rate(reported: float, other: float) -> bool:
+    """Return whether a reported rate confirms another one; never if that is 0."""
+    return other > 0 and other / CONFIRMING_FACTOR <= reported <= other * CONFIRMING_FACTOR
+
+
 class Controller:
     """Decides for one forwarder; see ``handle``.
 
--- a/tests/test_controller_regressions.py
+++ b/tests/test_controller_regressions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from snowlock.control import EAGER_SWEEP_MAX_ROUTES
 from snowlock.interface import (
     Arrival,
@@ -462,3 +464,27 @@
     f.wait(MS)
     f.endpoints("b", destination=2, kind=1)
     assert f.controller.routes[route("b")].down
+
+
+@pytest.mark.parametrize("noise", [900.0, 999_999.0])
+def test_noise_that_raises_a_limit_lasts_for_one_response(noise: float) -> None:
+    # Guards against calls above the limit for as long as two honest reports take.
+    f = Forwarder(settings(message_class(), columns=("x0", "x1"), share_left_column=0, limit_column=1, slots=4))
+    f.endpoints("a")
+    for number, rate in enumerate((60.0, 60.0, noise, 60.0)):
+        f.arrive(number)
+        f.wait(SECOND)
+        f.outcome(number, Outcome.OK, report=(0.5, rate))
+    assert f.controller.routes[route("a")].limit.rate == 60.0
+
+
+def test_a_limit_that_falls_below_a_tenth_counts_with_the_second_report() -> None:
+    f = Forwarder(settings(message_class(), columns=("x0", "x1"), share_left_column=0, limit_column=1, slots=4))
+    f.endpoints("a")
+    rates = []
+    for number, rate in enumerate((600.0, 3.0, 3.0)):
+        f.arrive(number)
+        f.wait(SECOND)
+        f.outcome(number, Outcome.OK, report=(0.5, rate))
+        rates.append(f.controller.routes[route("a")].limit.rate)
+    assert rates == [600.0, 600.0, 3.0]
