Notices: a platform that answers late is heard again

What callers saw since: a platform that takes notices at once and answers after 0.6 s (100 notices, 50 a second) or 1 s (5 a second) was never heard: where all 32 connections were in use, the request that had waited longest for its response was given up after 300 ms, each time right before the response.

Now the latest unanswered request makes room, never the earliest; one is given up after twice the time that the platform's slowest recent answer took, if that is longer than 300 ms; and a request that was given up brings no earlier repeat.

--- a/kestrelspar/http/notices.py
+++ b/kestrelspar/http/notices.py
@@ -144,10 +144,11 @@
                 rested_ms=(started_at - connection.came_up_at) // MS,
                 connections=self._spares.counts(),
             )
+        status, was_given_up = None, False
         try:
             status = self._post(connection.stream, "".join(notice.line + "\n" for notice in batch).encode())
         finally:
-            self._spares.release(connection)
+            was_given_up = not self._spares.release(connection, status is not None)
         if connection.address != self._spares.address:
             return
         if status is not None and 200 <= status < 300:
@@ -159,6 +160,8 @@
         elif status == 400:
             logs.error("notice-refused", notice=batch[0].line)
             self._settle(batch)
+        elif was_given_up:  # the notices are sent again when they are due, as if they were still unanswered
+            return
         else:
             owed = self._queue.retry(batch, self.loop.now)
             logs.event(
--- a/kestrelspar/http/spare_connections.py
+++ b/kestrelspar/http/spare_connections.py
@@ -6,8 +6,9 @@
 
 A proxy on the way may accept a connection long before the server has it, so of the ready connections the oldest one is
 the most certain to be up. But old connections may also fall silent all at once; then the youngest one is. Whoever takes
-one chooses between the two. Silent connections must not use up the number that may be open: where that is reached, the
-one whose request has been unanswered for longest makes room for a new one.
+one chooses between the two. Silent connections must not use up the number that may be open: where that is reached, one
+whose request is unanswered makes room for a new one. That is the latest such request, as nothing tells a silent
+connection from a slow server, and a slow server answers the earliest ones first.
 
 After a change of the address, connections to earlier addresses are kept while they are young and there is room, as the
 address may be changed back.
@@ -28,7 +29,9 @@
 INITIAL_OPEN_DELAY, MAX_OPEN_DELAY = 25 * MS, 250 * MS  # after a connection that failed; doubles
 IDLE_OPEN_DELAY = 2 * SECOND  # the same while no connection is needed
 DEMAND_TIME = 5 * SECOND  # from the last request for a connection on, none is needed
-UNANSWERED_TIME = 300 * MS  # after which a request may lose its connection to a new one
+# After this time, or after this multiple of the slowest of the latest answers, an unanswered request may lose its
+# connection to a new one.
+UNANSWERED_TIME, SLOW_ANSWER_FACTOR = 300 * MS, 2
 
 
 class Choice(Enum):
@@ -61,6 +64,7 @@
         self._ready: list[SpareConnection] = []  # oldest first
         self._opening: dict[Address, int] = {}  # by address: connections that are being opened
         self._in_use: dict[SpareConnection, int] = {}  # and when each was taken, the earliest first
+        self._slowest_answer = 0  # microseconds that a request took; halves with each quicker answer
         self._failures = 0  # in a row
         self._may_open_at = 0  # after failures
         self._needed_until = 0
@@ -103,21 +107,28 @@
         if in_all >= self._max_connections and len(previous) > self._max_connections // 4:
             self._close(previous[-1])
             in_all -= 1
-        elif in_all >= self._max_connections and self._close_unanswered():
+        elif in_all >= self._max_connections and self._give_up_unanswered():
             in_all -= 1
         return in_all < self._max_connections and self.loop.now >= self._may_open_at
 
-    def _close_unanswered(self) -> bool:
-        """Close the connection whose request has been unanswered for longest; false if for no long time."""
-        spare, taken_at = next(iter(self._in_use.items()), (None, 0))
-        if spare is None or taken_at > self.loop.now - UNANSWERED_TIME:
-            return False
-        del self._in_use[spare]
-        spare.stream.close()
-        return True
+    def _give_up_unanswered(self) -> bool:
+        """Close the connection of the latest request that has been unanswered for long, but not that of the earliest.
+
+        Returns false if there is none.
+        """
+        unanswered_time = max(UNANSWERED_TIME, SLOW_ANSWER_FACTOR * self._slowest_answer)
+        for spare in list(self._in_use)[:0:-1]:
+            if self._in_use[spare] <= self.loop.now - unanswered_time:
+                del self._in_use[spare]
+                spare.stream.close()
+                return True
+        return False
 
     def take(self, choice: Choice = Choice.OLDEST) -> SpareConnection | None:
-        """A connection for one request, which ``release`` closes; None if none is ready."""
+        """A connection for one request, which ``release`` closes; None if none is ready.
+
+        It may be given up, which closes it, once its request has been unanswered for long.
+        """
         self._note_need()
         candidates = self._current()
         taken = None
@@ -131,11 +142,17 @@
         self.refill()
         return taken
 
-    def release(self, spare: SpareConnection) -> None:
-        """Close a connection that ``take`` has returned."""
-        self._in_use.pop(spare, None)
+    def release(self, spare: SpareConnection, is_answered: bool = True) -> bool:
+        """Close a connection that ``take`` has returned; false if it was given up meanwhile, to make room.
+
+        ``is_answered``: its request has got a response.
+        """
+        taken_at = self._in_use.pop(spare, None)
+        if taken_at is not None and is_answered:
+            self._slowest_answer = max(self.loop.now - taken_at, self._slowest_answer // 2)
         spare.stream.close()
         self.refill()
+        return taken_at is not None
 
     def wait(self, deadline: int) -> None:
         """Wait until a connection is ready, at most until ``deadline``; then open one more, beside those that are late.
