A short cut of the way to the platform is reproduced, and a process that stood still is logged

Reproduced with real processes (tests/lab/test_late_connections.py, short_cut): for 200 ms, twice in 14 s, connections to the platform are silent for good and new ones never come up.

Added: `held-up` (warning) where a turn of the loop takes over 150 ms, in its own work or a system call such as a write to a disk or to a log that nobody reads, or where the process gets no processor. With `answered-late` and `notices-repeated` it tells the remaining hypotheses apart next time.

--- a/kestrelspar/lab/response_relay.py
+++ b/kestrelspar/lab/response_relay.py
@@ -115,6 +115,12 @@
         silenced, self._up = len(self._up), set()
         return silenced
 
+    def cut(self, duration: int) -> None:
+        """Cut the way for a time in microseconds: present connections and those made meanwhile stay silent for good."""
+        faults, self.connection_faults = self.connection_faults, ConnectionFaults(silent=1.0)
+        self.silence_connections()
+        self.loop.call_at(self.loop.now + duration, lambda: setattr(self, "connection_faults", faults))
+
     def _relay(self, client: Stream) -> None:
         if not self._comes_up(client):
             return
--- a/kestrelspar/runtime/loop.py
+++ b/kestrelspar/runtime/loop.py
@@ -43,6 +43,7 @@
     }
 )
 POLL_RETRY_DELAY_S = 0.001  # after a failed poll()
+HELD_UP_TIME = 150 * MS  # a turn that takes longer, or begins later than it should, is logged
 TIMED_OUT = object()  # result of ``Loop.park`` after its deadline, or after ``Loop.expire_read``
 
 
@@ -202,11 +203,11 @@
 
     def turn(self) -> None:
         """Run one turn: poll sockets, read the clock, run due timers, ready tasks and ``turn_end_calls``."""
-        timeout_ms = 0
+        timeout_ms, polled_at = 0, self.clock()
         if not self._ready:
             timeout_ms = 1000
             if self._timers:
-                remaining = self._timers[0][0] - self.clock()
+                remaining = self._timers[0][0] - polled_at
                 timeout_ms = min(timeout_ms, max(0, -(-remaining // MS)))
         try:
             events = self._poll.poll(timeout_ms)
@@ -214,7 +215,8 @@
             logs.error("poll-failed", why=str(error))
             time.sleep(POLL_RETRY_DELAY_S)
             events = []
-        self.now = self.clock()
+        last_turn_at, self.now = self.now, self.clock()
+        self._log_if_held_up(polled_at - last_turn_at, self.now - polled_at - timeout_ms * MS)
         for descriptor, ready_mask in events:
             waits = self._waits.get(descriptor, {})
             failed = ready_mask & ~(READ | WRITE)
@@ -233,6 +235,11 @@
         for call in self.turn_end_calls:
             self._run_call(call)
 
+    def _log_if_held_up(self, turn_time: int, wake_delay: int) -> None:
+        """Log that the last turn took long, in its own work or in a system call, or that the process did not run."""
+        if turn_time > HELD_UP_TIME or wake_delay > HELD_UP_TIME:
+            logs.warn("held-up", turn_ms=turn_time // MS, wake_late_ms=max(0, wake_delay) // MS)
+
     @staticmethod
     def _run_call(call: Callable[[], None]) -> None:
         """Run a call outside of any task; an exception in it is logged, and never ends the process."""
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -81,6 +81,9 @@
             CLOCK.skipped += max(0, self._timers[0][0] - CLOCK())
         super().turn()
 
+    def _log_if_held_up(self, turn_time: int, wake_delay: int) -> None:
+        """Nothing: the time that is skipped is no delay."""
+
 
 class CourierTestbed:
     """A courier on an event loop of its own, with its journal in a directory; the test runs in the main greenlet."""
--- a/tests/lab/test_late_connections.py
+++ b/tests/lab/test_late_connections.py
@@ -24,6 +24,18 @@
 SILENT_INTERVALS = {"every-2s": 2 * SECOND, "every-5s": 5 * SECOND, "every-700ms": 700 * MS}
 
 
+def assert_no_end_is_late(rig: Rig, name: str) -> None:
+    """Let the traffic end, and check when the end of each message was told."""
+    rig.run(10 * SECOND)
+    rig.drain()
+    calls = [call for member in rig.members.values() for call in member.calls]
+    delays = checkers.end_delays(rig.submissions, calls)
+    print(f"{name}: {len(delays)} ends, the latest {max(delays.values()) / SECOND:+.3f} s after its time")
+    assert len(delays) > 200  # else the run shows nothing
+    assert not checkers.late_ends(rig.submissions, calls, rig.loop.longest_turn)
+    assert not checkers.delivery_violations(rig.submissions, calls)
+
+
 @pytest.mark.parametrize("interval", SILENT_INTERVALS)
 def test_connections_to_the_platform_that_fall_silent_at_once_make_no_final_answer_late(
     tmp_path: Path, interval: str
@@ -41,14 +53,22 @@
             rig.loop.call_at(
                 rig.loop.now + at * SILENT_INTERVALS[interval], lambda: silenced.append(relay.silence_connections())
             )
-        rig.run(10 * SECOND)
-        rig.drain()
-        calls = [call for member in rig.members.values() for call in member.calls]
-        delays = checkers.end_delays(rig.submissions, calls)
-        print(f"{interval}: {len(delays)} ends, the latest {max(delays.values()) / SECOND:+.3f} s after its time")
-        assert len(delays) > 200 and max(silenced) > 8  # else the run shows nothing
-        assert not checkers.late_ends(rig.submissions, calls, rig.loop.longest_turn)
-        assert not checkers.delivery_violations(rig.submissions, calls)
+        assert_no_end_is_late(rig, interval)
+        assert max(silenced) > 8  # else the run shows nothing
+
+
+def test_a_short_cut_of_the_way_to_the_platform_makes_no_final_answer_late(tmp_path: Path) -> None:
+    # Guards against connections from before and from within a cut that keep those from after it from being opened.
+    with Rig(tmp_path, 1, 7, LIMITS, peers=False) as rig:
+        relay = rig.relay_discovery()
+        for member in rig.members.values():
+            member.refused = 1.0  # every message ends with a notice
+        rig.start("n0")
+        rig.ready()
+        rig.traffic({"n0": {"m1": 10.0, "m2": 10.0, "m3": 10.0}}, 10 * SECOND)
+        for at in (5 * SECOND, 9 * SECOND):
+            rig.loop.call_at(rig.loop.now + at, lambda: relay.cut(200 * MS))
+        assert_no_end_is_late(rig, "cut")
 
 
 @pytest.mark.parametrize("faults", FAULTS)
@@ -60,11 +80,4 @@
         rig.start("n0")
         rig.ready()
         rig.traffic({"n0": {"m1": 10.0, "m2": 10.0, "m3": 10.0}}, 10 * SECOND)
-        rig.run(10 * SECOND)
-        rig.drain()
-        calls = [call for member in rig.members.values() for call in member.calls]
-        delays = checkers.end_delays(rig.submissions, calls)
-        print(f"{faults}: {len(delays)} ends, the latest {max(delays.values()) / SECOND:+.3f} s after its time")
-        assert len(delays) > 200  # else the run shows nothing
-        assert not checkers.late_ends(rig.submissions, calls, rig.loop.longest_turn)
-        assert not checkers.delivery_violations(rig.submissions, calls)
+        assert_no_end_is_late(rig, faults)
--- a/tests/runtime/test_loop.py
+++ b/tests/runtime/test_loop.py
@@ -6,8 +6,9 @@
 
 import pytest
 
+from kestrelspar.runtime import logs
 from kestrelspar.runtime.buffers import BUFFER_SIZE, BufferPool, Stream
-from kestrelspar.runtime.loop import MS, TIMED_OUT, Suspension
+from kestrelspar.runtime.loop import MS, SECOND, TIMED_OUT, Loop, Suspension
 from tests.bench import CLOCK, SkippingLoop
 
 
@@ -81,3 +82,45 @@
     loop.spawn(task)
     run_for(loop, 5 * MS)
     assert got == [value]
+
+
+class ManualClock:
+    """A clock that only the test moves."""
+
+    def __init__(self) -> None:
+        self.now = SECOND
+
+    def __call__(self) -> int:
+        return self.now
+
+
+@pytest.mark.parametrize(("held_up_ms", "is_logged"), [(140, False), (200, True), (3_000, True)])
+def test_a_turn_that_takes_long_is_logged(held_up_ms: int, is_logged: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against late answers whose log does not tell a process that stood still from a platform that did.
+    clock, logged = ManualClock(), list[dict[str, object]]()
+    loop = Loop(clock)
+    monkeypatch.setattr(logs, "warn", lambda name, **fields: logged.append({"event": name} | fields))
+    loop.spawn(lambda: setattr(clock, "now", clock.now + held_up_ms * MS))
+    loop.spawn(lambda: None)
+    loop.turn()
+    loop.spawn(lambda: None)
+    loop.turn()
+    assert logged == ([{"event": "held-up", "turn_ms": held_up_ms, "wake_late_ms": 0}] if is_logged else [])
+
+
+@pytest.mark.parametrize(("late_ms", "is_logged"), [(140, False), (200, True)])
+def test_a_turn_that_begins_late_is_logged(late_ms: int, is_logged: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    clock, logged = ManualClock(), list[dict[str, object]]()
+    loop = Loop(clock)
+    monkeypatch.setattr(logs, "warn", lambda name, **fields: logged.append({"event": name} | fields))
+    loop.call_at(clock.now + 5 * MS, lambda: None)
+    real = loop._poll
+
+    class Poll:
+        def poll(self, timeout_ms: int) -> list[tuple[int, int]]:
+            clock.now += (timeout_ms + late_ms) * MS
+            return real.poll(0)
+
+    monkeypatch.setattr(loop, "_poll", Poll())
+    loop.turn()
+    assert logged == ([{"event": "held-up", "turn_ms": 0, "wake_late_ms": late_ms}] if is_logged else [])
