Soak's test of reused connections: more copies, and sooner, so that each run shows the fault

Traced: a copy of an answer breaks a rule only if it comes while the next call is out on its connection. The judge missed nothing; there was nothing to find.

The test was wrong to expect one in every run.

--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from kestrelspar.lab.response_relay import ConnectionFaults
+from kestrelspar.lab import soak
+from kestrelspar.lab.response_relay import ConnectionFaults, CopyFaults
 from kestrelspar.lab.soak import SoakRun, shrink
 from kestrelspar.lab.soak_judge import Rule
 from kestrelspar.lab.soak_plan import MEMBERS, TRAFFIC_SPAN, Fault, FaultKind, SoakPlan, draw
@@ -76,7 +77,11 @@
     assert not outcome.violations, "\n".join([*map(str, outcome.plan.faults), *outcome.stories()])
 
 
-def test_copied_answers_break_a_rule_where_connections_are_reused_at_once(tmp_path: Path) -> None:
+def test_copied_answers_break_a_rule_where_connections_are_reused_at_once(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # A copy breaks a rule only if it comes while the next call is out on its connection, so there are many, and soon.
+    monkeypatch.setattr(soak, "COPIES", CopyFaults(1.0, (MS, 60 * MS)))
     refusing = fault(FaultKind.MEMBER_REFUSES_SOME, targets=MEMBERS)
     plan = SoakPlan(1, (fault(FaultKind.ANSWERS_COPIED), refusing), 0.0, 12.0)
     outcome = SoakRun(plan, tmp_path, [sys.executable, "-c", CONNECTIONS_REUSED_AT_ONCE]).play()
