SMPP: parts of two messages under one reference are not joined

Cause: references began at 0 in each process, and a part whose place was taken counted as a repetition whatever its text. Either mend would do for the case; both doors are shut.

Parts by submit_multi are never held. data_sm takes the same path as submit_sm.

What it costs: parts that wait under a reference end as failed when another text comes in the place of one of them; before, the new part was dropped. A second part that overtakes its first one can still meet a foreign first part (postmortem).

--- a/kestrelspar/smpp/link.py
+++ b/kestrelspar/smpp/link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -67,7 +68,9 @@
         self.rate_control = RateControl(float(gateway.rate))
         self.backoff = Backoff(gateway.bind_retry_delay, gateway.max_bind_retry_delay, seed)
         self.sessions: list[BoundSession] = []
-        self.last_reference = 0  # of the last attempt; the low 8 or 16 bits are its concatenation reference number
+        # Of the last attempt; the low 8 or 16 bits are its concatenation reference number. It begins at random, as a
+        # receiver may still hold parts that another process sent.
+        self.last_reference = int.from_bytes(os.urandom(2), "big")
         self.attempts_in_progress = 0  # delivery attempts; a receipt may arrive before the response to its submit
         self.early_receipts: list[Suspension] = []  # tasks of such receipts, which wait for that response
         # Whether a receiving session has to be bound now. The carrier sets one that is true also while receipts are
--- a/kestrelspar/smpp/parts.py
+++ b/kestrelspar/smpp/parts.py
@@ -104,7 +104,7 @@
 
     HELD = "held"
     WHOLE = "completes its message"
-    REPEATED = "duplicate of a held part"
+    REPEATED = "has the reference and the position of a held part"
     NO_ROOM = "too many incomplete messages or bytes"
 
 
@@ -133,7 +133,7 @@
         self._incomplete: dict[Key, IncompleteMessage] = {}
 
     def classify(self, key: Key, part: Part, size: int) -> tuple[PartDisposition, int]:
-        """What would happen to a part, and the message number of the held part that it duplicates, or 0.
+        """What would happen to a part, and the message number of the held part in its place, or 0.
 
         Changes nothing, so that it can be called before the part is journalled. The first part of a message that
         arrives counts as HELD even if it is the only one.
@@ -163,6 +163,10 @@
         incomplete.parts[part.place] = number, size
         return self._incomplete.pop(message_key) if len(incomplete.parts) == incomplete.total else None
 
+    def pop(self, key: Key, part: Part) -> IncompleteMessage:
+        """Remove and return the incomplete message that a part belongs to by its reference; ``KeyError`` if none."""
+        return self._incomplete.pop((*key, part.how, part.ref, part.total))
+
     def pop_expired(self, now: int) -> Iterator[IncompleteMessage]:
         """Remove and yield the messages that have expired."""
         for key in [key for key, incomplete in self._incomplete.items() if incomplete.expires_at <= now]:
--- a/kestrelspar/smpp/server.py
+++ b/kestrelspar/smpp/server.py
@@ -413,7 +413,7 @@
                 return
             part, key = parts.Part(**message.extra["part"]), _reassembly_key(message)
             disposition, original = self._reassembler.classify(key, part, len(message.body))
-            if disposition is PartDisposition.REPEATED and original in self._held_parts:  # the first response was lost
+            if self._is_repeated(message, disposition, original):  # the first response was lost
                 has_answer = True
                 client.pending_submits -= 1
                 client.session.send(pdu.reply(message_id=self._held_parts[original].trace))
@@ -438,15 +438,21 @@
     def _hold_part(self, message: Message) -> None:
         """Hold an accepted part until the other parts have arrived; if it is the last one, reassemble the message.
 
-        A duplicate of a held part ends as failed. The limits of the reassembler were checked before the part was
-        accepted; they do not apply here, nor to parts recovered after a restart.
+        A duplicate of a held part ends as failed. A part with another text in the place of a held one belongs to
+        another message: its sender has begun its references anew, and the incomplete message ends as failed. The limits
+        of the reassembler were checked before the part was accepted; they do not apply here, nor to parts recovered
+        after a restart.
         """
         self._held_parts[message.number] = message
         part, key = parts.Part(**message.extra["part"]), _reassembly_key(message)
-        disposition, _ = self._reassembler.classify(key, part, len(message.body))
-        if disposition is PartDisposition.REPEATED:  # submitted twice at the same time, and both accepted
+        disposition, original = self._reassembler.classify(key, part, len(message.body))
+        if self._is_repeated(message, disposition, original):  # submitted twice at the same time, and both accepted
             self._fail_part(message)
             return
+        if disposition is PartDisposition.REPEATED:
+            for number in self._reassembler.pop(key, part).numbers:
+                logs.event("smpp-part-superseded", trace=self._held_parts[number].trace, by=message.trace)
+                self._fail_part(self._held_parts[number])
         expires_at = min(message.decide_by, message.deadline - MIN_PART_REPORT_TIME)
         complete = self._reassembler.add(self.loop.now, key, part, message.number, len(message.body), expires_at)
         if complete is not None:
@@ -454,6 +460,11 @@
         else:
             self._schedule_expiry()
 
+    def _is_repeated(self, message: Message, disposition: PartDisposition, original: int) -> bool:
+        """Whether a part is a held part that was submitted again, with the same text."""
+        held = self._held_parts.get(original) if disposition is PartDisposition.REPEATED else None
+        return held is not None and held.body == message.body
+
     def _schedule_expiry(self) -> None:
         """Set the timer to the next expiry of an incomplete message, which may be earlier than the previous one."""
         if self._expiry_timer is not None:
--- a/tests/smpp/test_parts.py
+++ b/tests/smpp/test_parts.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import itertools
+from functools import partial
 from pathlib import Path
 
 import pytest
@@ -441,3 +442,57 @@
     assert not timed_out.all_ended
     timed_out.record_late_response(None)
     assert timed_out.all_ended and timed_out.late_response is None
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+@pytest.mark.parametrize("how", [UDH, SAR])
+def test_a_part_with_another_text_begins_another_message(tmp_path: Path, how: str, restarted: bool) -> None:
+    # Guards against a text that nobody sent: the first part of one message joined with the second part of another one
+    # whose sender has begun its references anew.
+    testbed = SmppTestbed(tmp_path)
+    gate = StandInGateway(testbed)
+    testbed.open(gateway(gate.address))
+    contractor = testbed.contractor()
+    marked = partial(submit_text, testbed, contractor, how)
+    abandoned = marked(b"fee 1, ", 1).text("message_id")
+    if restarted:
+        testbed = SmppTestbed(tmp_path)  # as after SIGKILL
+        gate = StandInGateway(testbed)
+        testbed.open(gateway(gate.address))
+        contractor = testbed.contractor()
+        marked = partial(submit_text, testbed, contractor, how)
+    first = marked(b"fee 2, ", 1)
+    again = marked(b"fee 2, ", 1)
+    assert again.text("message_id") == first.text("message_id") != abandoned, "the same part, submitted again"
+    marked(b"for account 7", 2)
+    testbed.run_until(lambda: len(contractor.final_states()) == 3 and not testbed.journal.entries)
+    assert list(gate.effects) == [b"fee 2, for account 7"] and gate.effects.total() == 1
+    states = contractor.final_states()
+    assert states.pop(abandoned) == {State.EXPIRED} and all(ends == {State.DELIVERED} for ends in states.values())
+
+
+def submit_text(testbed: SmppTestbed, contractor: StandInContractor, how: str, text: bytes, place: int) -> Pdu:
+    """Submit one of two parts, under reference 1."""
+    short_message, tlvs = parts.mark_part(text, how, 1, 2, place)
+    return exchange(
+        testbed,
+        contractor,
+        Command.SUBMIT_SM,
+        short_message,
+        tlvs,
+        service_type="PAY",
+        source_addr="100",
+        destination_addr="3725550",
+        esm_class=parts.UDHI if how == UDH else 0,
+        registered_delivery=1,
+    )
+
+
+def test_references_do_not_begin_anew_with_each_process(tmp_path: Path) -> None:
+    # Guards against parts that a receiver joins with those that the process before has sent.
+    begins = set()
+    for _ in range(8):
+        testbed = SmppTestbed(tmp_path, gateway(("127.0.0.1", 1)))
+        (link,) = testbed.gateways._links.values()
+        begins.add(link.last_reference % 256)
+    assert len(begins) > 1
