A closing courier answers a message that it has taken on by its state, not 503

Cause: _check_admission looked at the shutdown before it looked whether the id is known. Now known ids are answered first.

SMPP gives each submit an id of its own, so it has no such request.

What it costs: a request again for a message that failed is told 409 while closing, as before SIGTERM; it was 503.

--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -620,8 +620,6 @@
 
         The answer is a refusal, or that to a duplicate, which may be ``ACCEPTED``.
         """
-        if self.closing is not None:
-            return Answer(False, True, RefusalReason.CLOSING)
         while self._ended and self._ended[0][0] < self.loop.now:
             until, trace = self._ended.popleft()
             known = self._known.get(trace)
@@ -629,7 +627,9 @@
                 del self._known[trace]
         before = self._known.get(message.trace)
         if before is not None and (answer := self._answer_duplicate(message, before)) is not None:
-            return answer
+            return answer  # also while closing: a message that was taken on is not refused as one that never ran
+        if self.closing is not None:
+            return Answer(False, True, RefusalReason.CLOSING)
         for hook in self.hooks:
             verdict = None
             with logs.contained("hook at an arrival", trace=message.trace):
--- a/tests/http/test_endings.py
+++ b/tests/http/test_endings.py
@@ -256,3 +256,20 @@
     testbed.run_until(lambda: len(settled) == 200)
     # One request for each notice would be 200.
     assert len(testbed.platform.seen) < 150 and sorted(settled) == sorted(traces)
+
+
+@pytest.mark.parametrize("cls", ["reading", "work-order", "payment"])
+@pytest.mark.parametrize(("state", "again"), [("open", b" 202 "), ("delivered", b" 202 "), ("failed", b" 409 ")])
+def test_a_closing_courier_answers_a_message_that_it_has_taken_on_by_its_state(
+    tmp_path: Path, cls: str, state: str, again: bytes
+) -> None:
+    # Guards against a 503, which says that handing it in again is harmless, for a message whose call is out or has run.
+    response = {"open": None, "delivered": parser.response(200), "failed": parser.response(410)}[state]
+    testbed = HttpTestbed(tmp_path, lambda *_: response)
+    assert b" 202 " in testbed.talk(submit_request("a", cls))
+    testbed.run_until(lambda: testbed.peer.seen)
+    testbed.run_for(50 * MS)
+    testbed.courier.close()
+    assert again in testbed.talk(submit_request("a", cls)), "the same message"
+    assert b" 503 " in testbed.talk(submit_request("b", cls)), "a new one"
+    assert len(testbed.peer.seen) == 1
