SIGHUP during the start no longer ends the process

Cause: the handler is installed after all imports.

Siblings looked at: SIGTERM in the same time ends the process, as it should; SIGHUP at a running courier has its tests.

--- a/kestrelspar/runtime/signals.py
+++ b/kestrelspar/runtime/signals.py
@@ -15,7 +15,7 @@
 def open_signal_socket() -> socket.socket:
     """Create the socket on which SIGTERM, SIGINT and SIGHUP arrive, one byte each.
 
-    Signals that arrive while the process starts are queued on the socket.
+    Signals that arrive while the process starts are queued on the socket, also a SIGHUP that was blocked before.
     """
     signal_socket, wakeup_end = socket.socketpair()
     for end in (signal_socket, wakeup_end):
@@ -25,6 +25,7 @@
     signal.set_wakeup_fd(descriptor, warn_on_full_buffer=False)
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, lambda *_: None)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     return signal_socket
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -168,6 +168,19 @@
         return self.process.returncode, out
 
 
+@pytest.mark.parametrize("after_ms", [0, 5, 20, 40, 60, 80, 120, 200])
+def test_a_sighup_during_the_start_does_not_end_the_process(tmp_path: Path, world: str, after_ms: int) -> None:
+    # Guards against a courier that has just been restarted and is ended by a new configuration.
+    program = Program(tmp_path, world)
+    wait_until(lambda: b"-m\0kestrelspar" in Path(f"/proc/{program.process.pid}/cmdline").read_bytes())
+    time.sleep(after_ms / 1000)
+    program.process.send_signal(signal.SIGHUP)
+    program.ready()
+    assert program.submit("t1") == 202
+    code, out = program.end(signal.SIGTERM)
+    assert code == 0, out
+
+
 def test_it_delivers_messages_and_shuts_down_on_sigterm(tmp_path: Path, world: str) -> None:
     program = Program(tmp_path, world).ready()
     assert [program.submit(f"t{i}") for i in range(5)] == [202] * 5
