A delivery that meets an exception each time ends without a last wait

Test: tests/core/test_faults.py, outside_of, with 1,000 failures: the time is asserted now, and fails without this change.

--- a/kestrelspar/core/courier.py
+++ b/kestrelspar/core/courier.py
@@ -221,7 +221,7 @@
             self._parked.pop(message.number, None)
             self._forget_in_controller(message, progress)
             end = End(RETURNED if entry.may_have_run_since is None else FAILED)
-            if self.loop.now >= message.decide_by:
+            if retry == MAX_DELIVERY_RETRIES or self.loop.now >= message.decide_by:
                 break
             self.loop.sleep(min(INITIAL_DELIVERY_RETRY_DELAY << retry, message.decide_by - self.loop.now))
             progress.attempts = max(progress.attempts, entry.attempts)
--- a/tests/core/test_faults.py
+++ b/tests/core/test_faults.py
@@ -225,9 +225,11 @@
     # ended although it can still be delivered.
     testbed = FaultTestbed(tmp_path, Carrier(ValueError, after_first_byte=False))
     raise_first(DELIVERY_STEPS[step](testbed), step, failures, monkeypatch)
+    submitted_at = testbed.loop.now
     testbed.submit("m", cls)
     testbed.run_until(lambda: testbed.sender.ends, within=10 * SECOND)
     assert testbed.sender.ends == [("m", "returned" if failures == 1_000 else "delivered")]
+    assert testbed.loop.now - submitted_at < 4 * SECOND
     monkeypatch.undo()
     testbed.submit("later", cls)
     testbed.run_until(lambda: len(testbed.sender.ends) == 2, within=10 * SECOND)
